--- /dev/null
+++ b/apps/cli/src/publish.ts
@@ -0,0 +1,125 @@
+import newId from '@cyclamengate/common/newId';
+import type { Member } from '@cyclamengate/coordination/member';
+import newPeer from '@cyclamengate/coordination/newPeer';
+import { publicationSchema } from '@cyclamengate/settings/publication';
+import readYamlFile from '@cyclamengate/settings/readYamlFile';
+import { NO_REVISION } from '@cyclamengate/settings/settingsTree';
+import { EXIT_FAILED, EXIT_MISUSED, EXIT_OK, failed } from './commandOutcome.js';
+import type { CommandOutcome } from './commandOutcome.js';
+import newLogSession from './newLogSession.js';
+import type { LogSession } from './newLogSession.js';
+
+const DECISION_TIMEOUT_MS = 15_000;
+const POLL_MS = 100;
+
+export interface PublishOptions {
+  file: string;
+  operator: string;
+  log: string;
+  peer?: string | undefined;
+  /** How long to wait until the change is in force on every live host, in seconds. */
+  wait: number;
+  /** The revision a subtree must still have, by path; by default the newest there is. */
+  basedOn: ReadonlyMap<string, number>;
+}
+
+interface InForce {
+  isComplete: boolean;
+  behind: string[];
+  silent: string[];
+}
+
+/** Asks a peer until every live host reports the offset, or the time is over. */
+const waitInForce = async (
+  { clock }: LogSession,
+  peerUrl: string,
+  offset: number,
+  deadline: number,
+): Promise<InForce> => {
+  const peer = newPeer(peerUrl);
+  const names = (members: Member[]): string[] => members.map(({ id }) => id).sort();
+  let last: InForce = { isComplete: false, behind: [peerUrl], silent: [] };
+  while (clock.now() < deadline) {
+    const seen = await peer.members();
+    if (seen.ok) {
+      const behind = seen.val.live.filter((member) => member.offset < offset);
+      last = {
+        isComplete: behind.length === 0,
+        behind: names(behind),
+        silent: names(seen.val.silent),
+      };
+    }
+    if (last.isComplete) return last;
+    await clock.sleepUntil(clock.now() + POLL_MS);
+  }
+  return last;
+};
+
+const describe = (offset: number, tookMs: number, inForce: InForce | null): string => {
+  if (!inForce) return `accepted at offset ${offset}`;
+  const silent =
+    inForce.silent.length > 0 ? `; not heard of (dead or cut off): ${inForce.silent.join(', ')}` : '';
+  return inForce.isComplete
+    ? `accepted at offset ${offset}, in force on every live host after ${Math.round(tookMs)} ms${silent}`
+    : `accepted at offset ${offset}, not yet in force on: ${inForce.behind.join(', ')}${silent}`;
+};
+
+const decideAndWait = async (
+  session: LogSession,
+  options: PublishOptions,
+  subtrees: Record<string, unknown>,
+): Promise<CommandOutcome> => {
+  const { clock, follower, writer } = session;
+  const tree = follower.state().settings;
+  const startedAt = clock.now();
+  const id = newId('change');
+  let offset = -1;
+  follower.onFolded((folded) => {
+    if (folded.id === id && offset < 0) offset = folded.offset;
+  });
+  const decision = await writer.write(
+    {
+      type: 'settings-change',
+      operator: options.operator,
+      subtrees: Object.entries(subtrees).map(([path, subtree]) => ({
+        path,
+        basedOn: options.basedOn.get(path) ?? tree[path]?.revision ?? NO_REVISION,
+        subtree,
+      })),
+    },
+    clock.now() + DECISION_TIMEOUT_MS,
+    id,
+  );
+  if (!decision.ok) {
+    return failed(
+      decision.val === 'not-written'
+        ? 'nothing was published: the log did not take it'
+        : 'unknown whether it was published: see `cyclamengate audit`, or publish again',
+    );
+  }
+  if (!decision.val.accepted) return failed(`rejected: ${decision.val.reason}`);
+  const inForce = options.peer
+    ? await waitInForce(session, options.peer, offset, clock.now() + options.wait * 1_000)
+    : null;
+  const tookMs = clock.now() - startedAt;
+  return {
+    status: inForce && !inForce.isComplete ? EXIT_FAILED : EXIT_OK,
+    text: describe(offset, tookMs, inForce),
+    json: { accepted: true, offset, tookMs, inForce },
+  };
+};
+
+/** Publishes a file of subtrees, whole or not at all, and waits until it is in force. */
+const publish = async (options: PublishOptions): Promise<CommandOutcome> => {
+  const publication = await readYamlFile(options.file, publicationSchema);
+  if (!publication.ok) return failed(publication.val, EXIT_MISUSED);
+  const session = newLogSession(options.log);
+  const caughtUp = await session.catchUp();
+  if (!caughtUp.ok) return failed(caughtUp.val);
+  session.start();
+  const outcome = await decideAndWait(session, options, publication.val.subtrees);
+  await session.stop();
+  return outcome;
+};
+
+export default publish;
--- /dev/null
+++ b/apps/entry/src/newEntry.ts
@@ -0,0 +1,126 @@
+import { handler } from '@cyclamengate/common/handler';
+import newDaemon from '@cyclamengate/coordination/newDaemon';
+import type { Daemon } from '@cyclamengate/coordination/newDaemon';
+import type { UsageDelta } from '@cyclamengate/coordination/usageRecords';
+import type { Running } from '@cyclamengate/common/startProgram';
+import newHttpHostList from '@cyclamengate/platform/newHttpHostList';
+import newAffinityChoice from '@cyclamengate/routing/newAffinityChoice';
+import newCallClaims from '@cyclamengate/routing/newCallClaims';
+import newGenerationRelay from '@cyclamengate/routing/newGenerationRelay';
+import newRetryBudget from '@cyclamengate/routing/newRetryBudget';
+import newServiceRelay from '@cyclamengate/routing/newServiceRelay';
+import type { HostSettings } from '@cyclamengate/settings/hostSettings';
+import { newHttpModelEngine } from '@cyclamengate/upstreams/newHttpModelEngine';
+import newHttpPlainService from '@cyclamengate/upstreams/newHttpPlainService';
+import newUpstreamDirectory from '@cyclamengate/upstreams/newUpstreamDirectory';
+import { watchHostList, watchLoads } from '@cyclamengate/upstreams/watchUpstreams';
+import newMeter from '@cyclamengate/usage/newMeter';
+import newUsageKeeper from '@cyclamengate/usage/newUsageKeeper';
+import type { UsageKeeper } from '@cyclamengate/usage/newUsageKeeper';
+import type { EntryParts } from './entryParts.js';
+import newAdmissions from './newAdmissions.js';
+import newCompletionHandler from './newCompletionHandler.js';
+import newGate from './newGate.js';
+import newOpenRequests from './newOpenRequests.js';
+import newServiceHandler from './newServiceHandler.js';
+
+const PROGRAM = 'cyclamengate-entry';
+
+/** Gives this host's usage that the log lacks to a peer, in another failure domain if there is one. */
+const newUsageCopy = ({ runtime, settings }: Daemon) => {
+  let wasEmpty = true;
+  return async (deltas: UsageDelta[]): Promise<void> => {
+    if (deltas.length === 0 && wasEmpty) return;
+    const entries = runtime.membership.others().filter(({ role }) => role === 'entry');
+    const elsewhere = entries.find(({ failureDomain }) => failureDomain !== settings.failureDomain);
+    const keeper = elsewhere ?? entries[0];
+    if (!keeper) return;
+    const kept = await runtime.peerAt(keeper.peerUrl).keepUsage(runtime.incarnation, deltas);
+    wasEmpty = kept.ok && deltas.length === 0;
+  };
+};
+
+/** The process that callers talk to. */
+const newEntry = (settings: HostSettings) => {
+  const keeper: { current: UsageKeeper | null } = { current: null };
+  const daemon = newDaemon(PROGRAM, 'entry', settings, {
+    keepUsage: (host, deltas) => keeper.current?.keep(host, deltas),
+  });
+  const { clock, metrics, tasks, runtime, log, app } = daemon;
+  const { follower, writer, suspects } = runtime;
+  const engine = newHttpModelEngine();
+  const directory = newUpstreamDirectory(clock, runtime.effective);
+  const openRequests = newOpenRequests();
+  const gate = newGate(clock, runtime);
+  const admissions = newAdmissions(clock, runtime, directory, openRequests);
+  const budget = newRetryBudget();
+  const choice = newAffinityChoice(settings.failureDomain, Math.random);
+  const now = (): number => clock.now();
+  const meter = newMeter({
+    clock,
+    follower,
+    writer,
+    host: runtime.incarnation,
+    windowMs: settings.usageWindowSeconds * 1_000,
+    copy: newUsageCopy(daemon),
+  });
+  keeper.current = newUsageKeeper({
+    clock,
+    follower,
+    writer,
+    isLive: (host) =>
+      runtime.membership.live().some(({ incarnation }) => incarnation === host),
+  });
+  const parts: EntryParts = {
+    daemon,
+    gate,
+    admissions,
+    openRequests,
+    relayGeneration: newGenerationRelay({ now, engine, directory, choice, suspects, budget }),
+    relayService: newServiceRelay({
+      now,
+      plain: newHttpPlainService(),
+      directory,
+      choice,
+      budget,
+    }),
+    claims: newCallClaims(clock, writer),
+    meter,
+  };
+
+  const onFault = (error: unknown): void => {
+    log.error({ event: 'handler-failed', error: String((error as Error).stack ?? error) });
+  };
+  const completion = handler(onFault, newCompletionHandler(parts));
+  app.post('/v1/completions', completion);
+  app.post('/v1/chat/completions', completion);
+  app.all('/v1/services/*', handler(onFault, newServiceHandler(parts)));
+  runtime.onSettings(openRequests.checkKeys);
+  metrics.gauge('open_requests', openRequests.size);
+
+  const start = async (): Promise<Running> => {
+    await daemon.start();
+    const hostList = newHttpHostList(settings.platform.hosts);
+    tasks.start('host list', (signal) => watchHostList(clock, hostList, directory, signal));
+    tasks.start('loads', (signal) =>
+      watchLoads(clock, engine, directory, settings.failureDomain, signal),
+    );
+    tasks.start('admissions', admissions.run);
+    tasks.start('meter', meter.run);
+    if (keeper.current) tasks.start('usage keeper', keeper.current.run);
+    return { drain };
+  };
+
+  /** Lets every open request come to its end, hands its usage to the log, and stops. */
+  const drain = async (): Promise<void> => {
+    await daemon.announceLeaving();
+    gate.close();
+    await openRequests.whenEmpty();
+    await meter.flush();
+    await daemon.stop();
+  };
+
+  return { start };
+};
+
+export default newEntry;
--- /dev/null
+++ b/apps/rollout/bin/main.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/main.js';
--- /dev/null
+++ b/apps/standin/src/engineOptions.ts
@@ -0,0 +1,10 @@
+/** How a stand-in engine behaves. */
+export interface EngineOptions {
+  id: string;
+  slots: number;
+  tokenDelayMs: number;
+  /** Time to read a prompt whose prefix is not cached. */
+  prefillMs: number;
+  /** Time to load a version of weights. */
+  loadMs: number;
+}
--- /dev/null
+++ b/apps/standin/src/newEngineStandin.ts
@@ -0,0 +1,191 @@
+import { createServer } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { HandlerRequest } from '@cyclamengate/common/handler';
+import polka from 'polka';
+import { z } from 'zod';
+import type { EngineOptions } from './engineOptions.js';
+import { faulty, readJson } from './faulty.js';
+import type { FaultSwitches } from './faultSwitches.js';
+
+/** A prompt with this text crashes the engine that runs it. */
+export const CRASH_MARKER = 'CRASH-THE-ENGINE';
+const PREFIX_CHARACTERS = 64;
+const PREFIXES_CACHED = 64;
+const PORTAL_DELAY_MS = 5;
+
+const generateSchema = z.object({
+  requestId: z.string(),
+  customer: z.string(),
+  prompt: z.string(),
+  prefix: z.array(z.string()),
+  maxTokens: z.int(),
+});
+
+const weightsSchema = z.object({ trainer: z.string(), version: z.int(), fence: z.int() });
+
+type Generate = z.infer<typeof generateSchema>;
+
+export interface EngineStandinOptions extends EngineOptions {
+  faults: FaultSwitches;
+  /** Takes part of the weight store's rate; false when there is none left now. */
+  takeWeights: () => boolean;
+  onCrash: () => void;
+}
+
+/** A model engine, plain service and scoring service in one, on a port of its own. */
+const newEngineStandin = async (options: EngineStandinOptions) => {
+  const { id, slots, faults } = options;
+  let active = 0;
+  let isLeaving = false;
+  let fence = -1;
+  const versions: Record<string, number> = {};
+  const loading: Record<string, number> = {};
+  const cached = new Set<string>();
+  const served: { requestId: string; customer: string; headers: unknown; path: string }[] = [];
+
+  const app = polka();
+  const server = createServer((request, response) => app.handler(request as never, response));
+
+  const crash = (): void => {
+    server.close();
+    server.closeAllConnections();
+    options.onCrash();
+  };
+
+  const status = () => ({
+    id,
+    active,
+    slots,
+    isLeaving,
+    versions: { ...versions },
+    loading: { ...loading },
+  });
+
+  const prefill = async (prompt: string): Promise<void> => {
+    const prefix = prompt.slice(0, PREFIX_CHARACTERS);
+    if (!cached.has(prefix)) await sleep(options.prefillMs);
+    cached.delete(prefix);
+    cached.add(prefix);
+    const [oldest] = cached;
+    if (cached.size > PREFIXES_CACHED && oldest !== undefined) cached.delete(oldest);
+  };
+
+  const newestVersion = (): number => Math.max(0, ...Object.values(versions));
+
+  const stream = async (
+    { requestId, prompt, prefix, maxTokens }: Generate,
+    request: HandlerRequest,
+    response: ServerResponse,
+  ): Promise<void> => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    const write = (event: unknown): boolean => response.write(`data: ${JSON.stringify(event)}\n\n`);
+    const answerId = faults.use(id, 'cross-answers') ? 'another-request' : requestId;
+    const cut = faults.use(id, 'cut-answers');
+    await prefill(prompt);
+    let index = prefix.length;
+    while (index < maxTokens && !response.destroyed) {
+      if (cut && index >= maxTokens / 2) {
+        response.end();
+        return;
+      }
+      if (prompt.includes(CRASH_MARKER) && index >= 1) {
+        crash();
+        return;
+      }
+      if (faults.use(id, 'silent')) return;
+      write({ requestId: answerId, index, text: ` ${prompt.length}.${index}`, version: newestVersion() });
+      index += 1;
+      await sleep(options.tokenDelayMs);
+    }
+    write({ requestId: answerId, tokens: index, finishReason: 'length' });
+    response.end();
+  };
+
+  const generate = async (request: HandlerRequest, response: ServerResponse) => {
+    const wanted = await readJson(request, response, generateSchema);
+    if (!wanted) return null;
+    const { requestId, customer } = wanted;
+    served.push({ requestId, customer, headers: request.headers, path: request.path });
+    if (isLeaving || active >= slots * 2) return { status: 503, body: { error: 'not run' } };
+    active += 1;
+    try {
+      await stream(wanted, request, response);
+    } finally {
+      active -= 1;
+    }
+    return null;
+  };
+
+  const swap = async (trainer: string, version: number): Promise<void> => {
+    loading[trainer] = version;
+    await sleep(options.loadMs);
+    delete loading[trainer];
+    if (faults.use(id, 'fail-swap')) delete versions[trainer];
+    else versions[trainer] = version;
+  };
+
+  const order = async (request: HandlerRequest, response: ServerResponse) => {
+    const wanted = await readJson(request, response, weightsSchema);
+    if (!wanted) return null;
+    const isOld = wanted.fence < fence && !faults.use(id, 'ignore-fence');
+    if (isOld) return { status: 409, body: { error: `fence ${fence} is newer` } };
+    fence = Math.max(fence, wanted.fence);
+    if (!options.takeWeights()) return { status: 429, body: { error: 'the weight store is busy' } };
+    swap(wanted.trainer, wanted.version).catch(() => undefined);
+    return { status: 200, body: status() };
+  };
+
+  const runCall = async (request: HandlerRequest, response: ServerResponse) => {
+    const call = await readJson(request, response, z.unknown());
+    served.push({
+      requestId: String(request.headers['x-request-id']),
+      customer: String(request.headers['x-customer']),
+      headers: request.headers,
+      path: request.path,
+    });
+    if (isLeaving) return { status: 503, body: { error: 'not run' } };
+    await sleep(PORTAL_DELAY_MS);
+    const text = JSON.stringify(call);
+    return { status: 200, body: { upstream: id, path: request.path, score: (text.length % 10) / 10 } };
+  };
+
+  app.get('/v1/status', faulty(faults, `${id}-status`, async () => ({ status: 200, body: status() })));
+  app.post('/v1/generate', faulty(faults, `${id}-generate`, generate));
+  app.post('/v1/weights', faulty(faults, `${id}-weights`, order));
+  app.get('/served', faulty(faults, `${id}-served`, async () => ({ status: 200, body: served })));
+  app.get('/call/*', faulty(faults, `${id}-call`, async (request) => {
+    served.push({
+      requestId: String(request.headers['x-request-id']),
+      customer: String(request.headers['x-customer']),
+      headers: request.headers,
+      path: request.path,
+    });
+    return { status: 200, body: { upstream: id, path: request.path } };
+  }));
+  app.post('/call/*', faulty(faults, `${id}-call`, runCall));
+
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+
+  return {
+    url: `http://127.0.0.1:${port}`,
+    status,
+    served: () => served,
+    leave: (): void => {
+      isLeaving = true;
+    },
+    crash,
+    close: (): void => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+};
+
+export type EngineStandin = Awaited<ReturnType<typeof newEngineStandin>>;
+
+export default newEngineStandin;
--- /dev/null
+++ b/apps/standin/src/newPlatformStandin.ts
@@ -0,0 +1,72 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import polka from 'polka';
+import { faulty, readJson } from './faulty.js';
+import { faultSwitchSchema, newFaultSwitches } from './faultSwitches.js';
+import newFleetStandin from './newFleetStandin.js';
+import newLogStandin from './newLogStandin.js';
+import newReportsStandin from './newReportsStandin.js';
+
+export interface PlatformStandinOptions {
+  port: number;
+  slots?: number;
+  tokenDelayMs?: number;
+  prefillMs?: number;
+  loadMs?: number;
+  startMs?: number;
+  listLagMs?: number;
+  recordsKept?: number;
+}
+
+/** Every service of the platform in one process, with its upstreams. */
+const newPlatformStandin = async (options: PlatformStandinOptions) => {
+  const faults = newFaultSwitches();
+  const log = newLogStandin(faults, options.recordsKept ?? 100_000);
+  const reports = newReportsStandin(faults);
+  const fleet = newFleetStandin({
+    faults,
+    engine: {
+      slots: options.slots ?? 8,
+      tokenDelayMs: options.tokenDelayMs ?? 2,
+      prefillMs: options.prefillMs ?? 20,
+      loadMs: options.loadMs ?? 200,
+    },
+    startMs: options.startMs ?? 200,
+    listLagMs: options.listLagMs ?? 200,
+  });
+
+  const app = polka();
+  [log, reports, fleet].forEach((part) => part.mount(app));
+  app.post(
+    '/faults',
+    faulty(faults, 'switches', async (request, response) => {
+      const wanted = await readJson(request, response, faultSwitchSchema);
+      if (wanted) faults.set(wanted);
+      return wanted && { status: 200, body: wanted };
+    }),
+  );
+  app.get('/counts', faulty(faults, 'switches', async () => ({ status: 200, body: log.counts() })));
+
+  const server = createServer((request, response) => app.handler(request as never, response));
+  await new Promise<void>((resolve) => {
+    server.listen(options.port, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+
+  return {
+    url: `http://127.0.0.1:${port}`,
+    faults,
+    log,
+    reports,
+    fleet,
+    close: (): void => {
+      fleet.running.forEach(({ engine }) => engine.close());
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+};
+
+export type PlatformStandin = Awaited<ReturnType<typeof newPlatformStandin>>;
+
+export default newPlatformStandin;
--- /dev/null
+++ b/packages/common/src/invariant.ts
@@ -0,0 +1,9 @@
+/** Thrown when the program contradicts itself. Never caught for recovery: it stops the process. */
+const invariant: (condition: boolean, message: string) => asserts condition = (
+  condition,
+  message,
+) => {
+  if (!condition) throw new Error(`invariant broken: ${message}`);
+};
+
+export default invariant;
--- /dev/null
+++ b/packages/common/src/restore.ts
@@ -0,0 +1,45 @@
+import type { ZodType } from 'zod';
+import { Err, Ok } from './outcome.js';
+import type { Result } from './outcome.js';
+
+/** One thing wrong with data from outside: where, what stood there, what is allowed. */
+export interface Problem {
+  path: string;
+  found: string;
+  expected: string;
+}
+
+const LONGEST_FOUND_CHARACTERS = 80;
+
+const valueAt = (raw: unknown, path: PropertyKey[]): unknown =>
+  path.reduce<unknown>(
+    (value, key) =>
+      typeof value === 'object' && value !== null
+        ? (value as Record<PropertyKey, unknown>)[key]
+        : undefined,
+    raw,
+  );
+
+const describe = (value: unknown): string => {
+  if (value === undefined) return 'nothing';
+  return (JSON.stringify(value) ?? String(value)).slice(0, LONGEST_FOUND_CHARACTERS);
+};
+
+/**
+ * Checks data from outside against its schema, once, at the edge.
+ * @returns the typed value, or every problem found
+ */
+export const restore = <T>(schema: ZodType<T>, raw: unknown): Result<T, Problem[]> => {
+  const parsed = schema.safeParse(raw);
+  if (parsed.success) return Ok(parsed.data);
+  const problems = parsed.error.issues.map((issue) => ({
+    path: issue.path.map(String).join('.') || '(whole)',
+    found: describe(valueAt(raw, issue.path)),
+    expected: issue.message,
+  }));
+  return Err(problems);
+};
+
+/** All problems as one readable message. */
+export const formatProblems = (problems: Problem[]): string =>
+  problems.map(({ path, found, expected }) => `${path}: found ${found}; ${expected}`).join('\n');
--- /dev/null
+++ b/packages/common/src/startProgram.ts
@@ -0,0 +1,71 @@
+import { parseArgs } from 'node:util';
+
+/** Exit statuses by convention: 0 well, 1 failed, 2 misused. */
+export const EXIT_FAILED = 1;
+export const EXIT_MISUSED = 2;
+
+/** A running program, as the signals see it. */
+export interface Running {
+  /** Stops taking work, lets what runs come to its end, and returns. */
+  drain: () => Promise<void>;
+}
+
+const usageOf = (program: string): string =>
+  [
+    `Usage: ${program} --settings FILE`,
+    '',
+    'Options:',
+    '  --settings FILE  the YAML file with addresses, failure domain and peers of this process',
+    '  --help           shows this text',
+    '',
+    `Example: ${program} --settings /etc/cyclamengate/${program}.yaml`,
+    '',
+    'TERM or INT drains: work that runs is finished, none is taken. A second one stops at once.',
+    '',
+  ].join('\n');
+
+const readSettingsPath = (program: string): string => {
+  try {
+    const { values } = parseArgs({
+      options: { settings: { type: 'string' }, help: { type: 'boolean' } },
+    });
+    if (values.help) {
+      process.stdout.write(usageOf(program));
+      process.exit(0);
+    }
+    if (values.settings) return values.settings;
+  } catch (error) {
+    process.stderr.write(`${program}: ${(error as Error).message}\n`);
+  }
+  process.stderr.write(usageOf(program));
+  return process.exit(EXIT_MISUSED);
+};
+
+const handleSignals = (running: Running): void => {
+  let isDraining = false;
+  const onSignal = (): void => {
+    if (isDraining) process.exit(EXIT_FAILED);
+    isDraining = true;
+    running.drain().then(
+      () => process.exit(0),
+      () => process.exit(EXIT_FAILED),
+    );
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+};
+
+/** Runs a daemon: flags, start, signals, exit status. */
+const startProgram = async (
+  program: string,
+  start: (settingsPath: string) => Promise<Running | string>,
+): Promise<void> => {
+  const running = await start(readSettingsPath(program));
+  if (typeof running === 'string') {
+    process.stderr.write(`${program}: ${running}\n`);
+    process.exit(EXIT_MISUSED);
+  }
+  handleSignals(running);
+};
+
+export default startProgram;
--- /dev/null
+++ b/packages/coordination/src/applySample.ts
@@ -0,0 +1,138 @@
+import { ACCEPTED, rejected } from '@cyclamengate/settings/decision';
+import type { Decision } from '@cyclamengate/settings/decision';
+import type { SettingsTree } from '@cyclamengate/settings/settingsTree';
+import isFresh from './isFresh.js';
+import type {
+  SampleBound,
+  SamplesOffered,
+  SlotReleased,
+  StepOpened,
+  WeightsPublished,
+} from './sampleRecords.js';
+import type { StepState, TrainerState } from './trainerState.js';
+
+const STEPS_KEPT = 8;
+
+type Trainers = Record<string, TrainerState>;
+
+const trainerOf = (trainers: Trainers, id: string): TrainerState => {
+  trainers[id] ??= { version: 0, steps: {} };
+  return trainers[id];
+};
+
+const stalenessBound = (settings: SettingsTree, trainer: string): number | null => {
+  const found = Object.values(settings)
+    .flatMap(({ subtree }) => subtree?.trainers ?? [])
+    .find(({ id }) => id === trainer);
+  return found ? found.stalenessBoundVersions : null;
+};
+
+/** Takes a version into force; versions only grow. */
+export const applyWeightsPublished = (
+  trainers: Trainers,
+  published: WeightsPublished,
+): Decision => {
+  const trainer = trainerOf(trainers, published.trainer);
+  if (published.version <= trainer.version) return rejected(`version ${trainer.version} is out`);
+  trainer.version = published.version;
+  return ACCEPTED;
+};
+
+const forgetSteps = (trainer: TrainerState): void => {
+  const steps = Object.keys(trainer.steps).sort((left, right) => Number(left) - Number(right));
+  steps.slice(0, Math.max(0, steps.length - STEPS_KEPT)).forEach((step) => {
+    delete trainer.steps[step];
+  });
+};
+
+/** Fixes a step's slots. Opening it again with the same shape changes nothing. */
+export const applyStepOpened = (trainers: Trainers, opened: StepOpened): Decision => {
+  const trainer = trainerOf(trainers, opened.trainer);
+  const standing = trainer.steps[opened.step];
+  if (standing) {
+    const isSame = standing.groups === opened.groups && standing.groupSize === opened.groupSize;
+    return isSame ? ACCEPTED : rejected('the step is open with another shape');
+  }
+  const newest = Math.max(-1, ...Object.keys(trainer.steps).map(Number));
+  if (opened.step < newest - STEPS_KEPT) return rejected('the step is long over');
+  trainer.steps[opened.step] = {
+    groups: opened.groups,
+    groupSize: opened.groupSize,
+    slots: Array.from({ length: opened.groups * opened.groupSize }, () => ({
+      attempt: 0,
+      sample: null,
+    })),
+    delivery: [],
+    offered: 0,
+  };
+  forgetSteps(trainer);
+  return ACCEPTED;
+};
+
+const stepOf = (trainers: Trainers, id: string, step: number): StepState | undefined =>
+  trainers[id]?.steps[step];
+
+/**
+ * Binds a slot to a sample. Copies of a straggler may finish together on several hosts: the first
+ * binding in the log wins, the others are thrown away, so the trainer can never get both.
+ */
+export const applySampleBound = (
+  trainers: Trainers,
+  settings: SettingsTree,
+  bound: SampleBound,
+): Decision => {
+  const step = stepOf(trainers, bound.trainer, bound.step);
+  const slot = step?.slots[bound.slot];
+  if (!step || !slot) return rejected('there is no such slot');
+  if (slot.attempt !== bound.attempt) return rejected('the slot was released since');
+  if (slot.sample) return rejected('the slot is bound already');
+  const limit = stalenessBound(settings, bound.trainer);
+  const { version } = trainerOf(trainers, bound.trainer);
+  if (limit === null) return rejected('the trainer is not in the settings');
+  if (!isFresh(bound.segments, version, limit)) return rejected('the sample is too old');
+  slot.sample = { digest: bound.digest, holders: bound.holders, segments: bound.segments };
+  step.delivery.push(bound.slot);
+  return ACCEPTED;
+};
+
+/** Frees a slot for a new sample; refused once its sample may have reached the trainer. */
+export const applySlotReleased = (trainers: Trainers, released: SlotReleased): Decision => {
+  const step = stepOf(trainers, released.trainer, released.step);
+  const slot = step?.slots[released.slot];
+  if (!step || !slot?.sample) return rejected('the slot is not bound');
+  if (slot.attempt !== released.attempt) return rejected('the slot was released since');
+  const position = step.delivery.indexOf(released.slot);
+  if (position < step.offered) return rejected('the sample was offered to the trainer');
+  step.delivery.splice(position, 1);
+  slot.sample = null;
+  slot.attempt += 1;
+  return ACCEPTED;
+};
+
+/**
+ * Fixes the positions that are about to leave for the trainer.
+ *
+ * A host with an old view could hand out a sample that was released and made anew elsewhere, and
+ * the trainer would get both. So nothing leaves before this record is accepted, it names what is
+ * to leave, and freshness is judged here once more, at a point in the log that all agree on.
+ */
+export const applySamplesOffered = (
+  trainers: Trainers,
+  settings: SettingsTree,
+  offered: SamplesOffered,
+): Decision => {
+  const step = stepOf(trainers, offered.trainer, offered.step);
+  if (!step) return rejected('there is no such step');
+  if (offered.through <= step.offered) return rejected('offered already');
+  const samples = step.delivery
+    .slice(step.offered, offered.through)
+    .map((slot) => step.slots[slot]?.sample ?? null);
+  const standing = samples.map((sample) => sample?.digest).join();
+  if (standing !== offered.digests.join()) return rejected('the positions have moved');
+  const limit = stalenessBound(settings, offered.trainer) ?? 0;
+  const { version } = trainerOf(trainers, offered.trainer);
+  const isAllFresh = samples.every((sample) => sample && isFresh(sample.segments, version, limit));
+  if (!isAllFresh) return rejected('a sample has grown too old');
+  step.offered = offered.through;
+  return ACCEPTED;
+};
--- /dev/null
+++ b/packages/coordination/src/auditEntryOf.ts
@@ -0,0 +1,48 @@
+import type { LogRecord } from '@cyclamengate/platform/logRecord';
+import type { Decision } from '@cyclamengate/settings/decision';
+import type { AuditEntry } from './auditEntry.js';
+import type { Envelope, SystemRecord } from './systemRecord.js';
+
+interface Line {
+  subject: string;
+  basis: string;
+}
+
+const lineOf = (record: SystemRecord): Line | null => {
+  switch (record.type) {
+    case 'settings-change':
+      return {
+        subject: record.subtrees.map(({ path }) => path).join(' '),
+        basis: record.subtrees.map(({ basedOn }) => `revision ${basedOn}`).join(' '),
+      };
+    case 'lease-claim':
+    case 'lease-release':
+      return { subject: record.lease, basis: `offset ${record.basedOn}` };
+    case 'usage-close':
+      return { subject: `window ${record.window}`, basis: `fence ${record.fence}` };
+    case 'usage-reported':
+      return { subject: `window ${record.window}`, basis: '' };
+    case 'weights-published':
+      return { subject: record.trainer, basis: `version ${record.version}` };
+    case 'audit-note':
+      return { subject: `${record.subject}: ${record.outcome}`, basis: record.basis };
+    default:
+      return null;
+  }
+};
+
+/** The audit trail's line for a record, or null for traffic that is not administration. */
+const auditEntryOf = (
+  { offset, at }: LogRecord,
+  { writer }: Envelope,
+  record: SystemRecord,
+  { accepted, reason }: Decision,
+): AuditEntry | null => {
+  const line = lineOf(record);
+  if (!line) return null;
+  const who = record.type === 'settings-change' ? record.operator : writer;
+  const action = record.type === 'audit-note' ? record.action : record.type;
+  return { offset, at, writer: who, action, ...line, accepted, reason };
+};
+
+export default auditEntryOf;
--- /dev/null
+++ b/packages/coordination/src/auditNote.ts
@@ -0,0 +1,12 @@
+import { z } from 'zod';
+
+/** Something done outside the log that the audit trail must show, e.g. an order to the platform. */
+export const auditNoteSchema = z.object({
+  type: z.literal('audit-note'),
+  subject: z.string(),
+  action: z.string(),
+  basis: z.string(),
+  outcome: z.string(),
+});
+
+export type AuditNote = z.infer<typeof auditNoteSchema>;
--- /dev/null
+++ b/packages/coordination/src/findCheckpoint.ts
@@ -0,0 +1,20 @@
+import { parseJson } from '@cyclamengate/common/readBody';
+import { restore } from '@cyclamengate/common/restore';
+import type { LogRecord } from '@cyclamengate/platform/logRecord';
+import { checkpointRecordSchema } from './checkpointRecord.js';
+import { envelopeSchema } from './systemRecord.js';
+import { systemStateSchema } from './systemState.js';
+import type { SystemState } from './systemState.js';
+
+/** The state in a checkpoint record, or null when the record is something else. */
+const findCheckpoint = ({ body }: LogRecord): SystemState | null => {
+  if (!body.includes('"checkpoint"')) return null;
+  const raw = parseJson(body);
+  const envelope = raw.ok ? restore(envelopeSchema, raw.val) : null;
+  const record = envelope?.ok ? restore(checkpointRecordSchema, envelope.val.record) : null;
+  const state = record?.ok ? restore(systemStateSchema, record.val.state) : null;
+  if (!record?.ok || !state?.ok) return null;
+  return state.val.offset === record.val.covers ? state.val : null;
+};
+
+export default findCheckpoint;
--- /dev/null
+++ b/packages/coordination/src/newRuntime.ts
@@ -0,0 +1,235 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type Clock from '@cyclamengate/common/Clock';
+import type { Log } from '@cyclamengate/common/newLogger';
+import type { Metrics } from '@cyclamengate/common/newMetrics';
+import newId from '@cyclamengate/common/newId';
+import type { TaskGroup } from '@cyclamengate/common/newTaskGroup';
+import rendezvousRank from '@cyclamengate/common/rendezvousRank';
+import type PlatformLog from '@cyclamengate/platform/PlatformLog';
+import type { HostSettings } from '@cyclamengate/settings/hostSettings';
+import newEffectiveSettings from '@cyclamengate/settings/newEffectiveSettings';
+import type { EffectiveSettings } from '@cyclamengate/settings/newEffectiveSettings';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import chooseSources from './chooseSources.js';
+import type { Exchange } from './exchange.js';
+import followLog from './followLog.js';
+import gossip from './gossip.js';
+import type { Member, MemberRole } from './member.js';
+import newFollower from './newFollower.js';
+import newLease from './newLease.js';
+import type { Lease } from './newLease.js';
+import { newLogSource } from './newLogSource.js';
+import newLogWriter from './newLogWriter.js';
+import newMembership from './newMembership.js';
+import newPeer from './newPeer.js';
+import type { Peer } from './newPeer.js';
+import newSuspects from './newSuspects.js';
+import { newPeerRouter } from './peerRouter.js';
+import type { PeerService } from './peerRouter.js';
+import type RecordSource from './RecordSource.js';
+
+/** Appends a second that the whole system allows itself; the log takes several hundred. */
+const SYSTEM_APPENDS_PER_SECOND = 200;
+const FEWEST_APPENDS_PER_SECOND = 0.5;
+const MOST_APPENDS_PER_SECOND = 40;
+const DEFER_PER_RANK_MS = 400;
+
+export interface RuntimeOptions {
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  tasks: TaskGroup;
+  settings: HostSettings;
+  role: MemberRole;
+  platformLog: PlatformLog;
+  keepUsage?: PeerService['keepUsage'];
+  keepPayload?: PeerService['keepPayload'];
+  readPayload?: PeerService['readPayload'];
+}
+
+const startServer = (server: Server, host: string, port: number): Promise<void> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+
+/** What every process of the system has: the shared state, a writer, its peers, leases. */
+const newRuntime = (options: RuntimeOptions) => {
+  const { clock, log, metrics, tasks, settings, role, platformLog } = options;
+  const follower = newFollower(clock);
+  const suspects = newSuspects();
+  const peers = new Map<string, Peer>();
+  const sources = new Map<string, RecordSource>();
+  const incarnation = newId(settings.id);
+  const peerUrl = `http://${settings.peer.host}:${settings.peer.port}`;
+  const logSource = newLogSource(platformLog);
+  const self: Member = {
+    id: settings.id,
+    incarnation,
+    role,
+    failureDomain: settings.failureDomain,
+    peerUrl,
+    url: `http://${settings.listen.host}:${settings.listen.port}`,
+    // A restarted process goes on above its former beats, so its news are taken for newer.
+    heartbeat: clock.wallTime(),
+    offset: -1,
+    isLeaving: false,
+    inFlight: {},
+    demand: {},
+  };
+  const readSelf = (): Member => ({ ...self, offset: follower.state().offset });
+  const membership = newMembership(clock, readSelf, Math.random);
+
+  const writer = newLogWriter({
+    clock,
+    log: platformLog,
+    follower,
+    metrics,
+    writer: settings.id,
+    appendsPerSecond: () =>
+      Math.min(
+        MOST_APPENDS_PER_SECOND,
+        Math.max(FEWEST_APPENDS_PER_SECOND, SYSTEM_APPENDS_PER_SECOND / membership.live().length),
+      ),
+  });
+
+  let effective: EffectiveSettings = newEffectiveSettings({});
+  const settingsListeners = new Set<(settings: EffectiveSettings) => void>();
+  const refreshSettings = (): void => {
+    effective = newEffectiveSettings(follower.state().settings);
+    settingsListeners.forEach((listener) => listener(effective));
+  };
+  follower.onJump(refreshSettings);
+  follower.onFolded(({ record, decision, offset }) => {
+    if (record.type !== 'settings-change') return;
+    log.info({ event: 'settings-change', offset, ...decision });
+    if (decision.accepted) refreshSettings();
+  });
+
+  const peerAt = (url: string): Peer => {
+    const known = peers.get(url) ?? newPeer(url);
+    peers.set(url, known);
+    return known;
+  };
+
+  const readSources = (): RecordSource[] => {
+    const chosen = chooseSources(readSelf(), membership.others()).map((member) =>
+      member ? peerAt(member.peerUrl).source : logSource,
+    );
+    const seeds = settings.seeds.map((url) => peerAt(url).source);
+    sources.clear();
+    [...chosen, ...seeds].forEach((source) => sources.set(source.name, source));
+    return [...sources.values()];
+  };
+
+  const tell = (): Exchange => ({ members: membership.tell(), suspects: suspects.tell() });
+  const learn = (told: Exchange): void => {
+    // Peers may remember beats of a former run of this process whose wall clock was ahead.
+    const own = told.members.filter(({ id }) => id === self.id);
+    self.heartbeat = Math.max(self.heartbeat, ...own.map(({ heartbeat }) => heartbeat + 1));
+    membership.learn(told.members);
+    suspects.learn(told.suspects);
+  };
+
+  const service: PeerService = {
+    exchange: (told) => {
+      learn(told);
+      return tell();
+    },
+    records: async (from, waitMs) => {
+      await follower.waitPast(from - 1, clock.now() + waitMs);
+      return {
+        records: follower.ring.from(from),
+        first: follower.ring.first(follower.state().offset + 1),
+        ageMs: Math.min(Number.MAX_SAFE_INTEGER, clock.now() - follower.currentAt()),
+      };
+    },
+    snapshot: follower.state,
+    members: () => ({ live: membership.live(), silent: membership.silent() }),
+    keepUsage: options.keepUsage ?? (() => undefined),
+    keepPayload: options.keepPayload ?? (() => false),
+    readPayload: options.readPayload ?? (() => null),
+  };
+
+  const server = createServer(
+    createHTTPHandler({ router: newPeerRouter(service), basePath: '/trpc/' }),
+  );
+  const start = async (): Promise<void> => {
+    await startServer(server, settings.peer.host, settings.peer.port);
+    tasks.start('log writer', writer.run);
+    tasks.start('log follower', (signal) =>
+      followLog(
+        { clock, follower, sources: readSources, highestKnown: membership.highestOffset },
+        signal,
+      ),
+    );
+    tasks.start('gossip', (signal) =>
+      gossip(
+        {
+          clock,
+          membership,
+          seeds: settings.seeds.filter((seed) => seed !== peerUrl),
+          peerAt,
+          tell,
+          learn,
+          beat: () => {
+            self.heartbeat += 1;
+          },
+          random: Math.random,
+        },
+        signal,
+      ),
+    );
+  };
+
+  /** Hosts of the right role queue up for a lease by rank, those of its own domain first. */
+  const deferMs = (name: string, preferredDomain: string | null): number => {
+    const candidates = membership.live().filter((member) => member.role === role);
+    const isPreferred = (member: Member): boolean => member.failureDomain === preferredDomain;
+    const order = rendezvousRank(name, candidates.map(({ id }) => id));
+    const preferred = candidates.filter(isPreferred).map(({ id }) => id);
+    const queue = [
+      ...order.filter((id) => preferred.includes(id)),
+      ...order.filter((id) => !preferred.includes(id)),
+    ];
+    return Math.max(0, queue.indexOf(settings.id)) * DEFER_PER_RANK_MS;
+  };
+
+  const startLease = (name: string, preferredDomain: string | null = null): Lease => {
+    const lease = newLease({
+      clock,
+      follower,
+      writer,
+      name,
+      holder: incarnation,
+      deferMs: () => deferMs(name, preferredDomain),
+    });
+    tasks.start(`lease ${name}`, lease.run);
+    return lease;
+  };
+
+  return {
+    start,
+    startLease,
+    self,
+    follower,
+    writer,
+    membership,
+    suspects,
+    peerAt,
+    incarnation,
+    effective: (): EffectiveSettings => effective,
+    onSettings: (listener: (settings: EffectiveSettings) => void): void => {
+      settingsListeners.add(listener);
+    },
+    close: (): void => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+};
+
+export type Runtime = ReturnType<typeof newRuntime>;
+
+export default newRuntime;
--- /dev/null
+++ b/packages/coordination/src/systemState.ts
@@ -0,0 +1,34 @@
+import { settingsTreeSchema } from '@cyclamengate/settings/settingsTree';
+import { z } from 'zod';
+import { callStateSchema } from './callState.js';
+import { leaseStateSchema } from './leaseState.js';
+import { trainerStateSchema } from './trainerState.js';
+import { usageStateSchema } from './usageState.js';
+
+/** What every reader of the same records arrives at. Plain data: it is its own checkpoint. */
+export const systemStateSchema = z.object({
+  /** Offset of the last record in it; -1 before the first. */
+  offset: z.int(),
+  /** Highest time the log has stamped on a record. */
+  time: z.number(),
+  recentIds: z.array(z.string()),
+  settings: settingsTreeSchema,
+  leases: z.record(z.string(), leaseStateSchema),
+  usage: usageStateSchema,
+  calls: z.record(z.string(), callStateSchema),
+  trainers: z.record(z.string(), trainerStateSchema),
+});
+
+export type SystemState = z.infer<typeof systemStateSchema>;
+
+/** The state before any record. */
+export const newEmptyState = (): SystemState => ({
+  offset: -1,
+  time: 0,
+  recentIds: [],
+  settings: {},
+  leases: {},
+  usage: { hosts: {}, open: {}, late: {}, closed: {}, closedThrough: -1 },
+  calls: {},
+  trainers: {},
+});
--- /dev/null
+++ b/packages/coordination/src/usageState.ts
@@ -0,0 +1,23 @@
+import { usageFigureSchema } from '@cyclamengate/platform/usageReport';
+import { z } from 'zod';
+import { windowFiguresSchema } from './usageRecords.js';
+
+const customerFiguresSchema = z.record(z.string(), usageFigureSchema);
+
+export const closedWindowSchema = z.object({
+  fence: z.int(),
+  figures: customerFiguresSchema,
+  reported: z.boolean(),
+});
+
+export const usageStateSchema = z.object({
+  /** Highest sequence number counted of each host, and when, by the log's clock. */
+  hosts: z.record(z.string(), z.object({ sequence: z.int(), at: z.number() })),
+  open: windowFiguresSchema,
+  /** Usage of closed windows that came too late; billed with the next window that closes. */
+  late: customerFiguresSchema,
+  closed: z.record(z.string(), closedWindowSchema),
+  closedThrough: z.int(),
+});
+
+export type UsageState = z.infer<typeof usageStateSchema>;
--- /dev/null
+++ b/packages/platform/src/newHttpUsageReports.ts
@@ -0,0 +1,23 @@
+import { Ok } from '@cyclamengate/common/outcome';
+import type { Result } from '@cyclamengate/common/outcome';
+import { z } from 'zod';
+import newHttpCaller from './newHttpCaller.js';
+import type { PlatformFault } from './platformFault.js';
+import type { UsageReport } from './usageReport.js';
+import UsageReports from './UsageReports.js';
+
+/** A report's answer must be in by then. */
+export const REPORT_TIMEOUT_MS = 1_500;
+
+/** The platform's report interface over HTTP. */
+export const newHttpUsageReports = (url: string): UsageReports => {
+  const caller = newHttpCaller(url, REPORT_TIMEOUT_MS);
+
+  class HttpUsageReports extends UsageReports {
+    async send(report: UsageReport): Promise<Result<void, PlatformFault>> {
+      const answer = await caller.call('POST', '/reports', z.unknown(), report);
+      return answer.ok ? Ok(undefined) : answer;
+    }
+  }
+  return new HttpUsageReports();
+};
--- /dev/null
+++ b/packages/rollouts/src/newEntrySampleMaker.ts
@@ -0,0 +1,125 @@
+import { Err, Ok } from '@cyclamengate/common/outcome';
+import type { Result } from '@cyclamengate/common/outcome';
+import { parseJson } from '@cyclamengate/common/readBody';
+import { restore } from '@cyclamengate/common/restore';
+import { createParser } from 'eventsource-parser';
+import { Agent, request } from 'undici';
+import { z } from 'zod';
+import newSegments from './newSegments.js';
+import SampleMaker from './SampleMaker.js';
+import type { MadeTokens, MakeFault } from './SampleMaker.js';
+
+const IDLE_TIMEOUT_MS = 30_000;
+const REQUEST_TIMEOUT_MS = 120_000;
+
+const chunkSchema = z.object({
+  choices: z.array(z.object({ text: z.string(), finish_reason: z.string().nullable() })),
+  version: z.int().nullable().optional(),
+});
+
+const scoreSchema = z.object({ score: z.number() });
+
+const faultOfStatus = (status: number): MakeFault =>
+  status === 401 || status === 422 ? 'refused-for-good' : 'failed';
+
+const readStream = async (body: AsyncIterable<unknown>): Promise<Result<MadeTokens, MakeFault>> => {
+  const arrived: string[] = [];
+  const parser = createParser({ onEvent: ({ data }) => arrived.push(data) });
+  const decoder = new TextDecoder();
+  const tokens: string[] = [];
+  const segments = newSegments();
+  let isWhole = false;
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes as Buffer, { stream: true }));
+    for (const data of arrived.splice(0)) {
+      const raw = data === '[DONE]' ? null : parseJson(data);
+      const chunk = raw?.ok ? restore(chunkSchema, raw.val) : null;
+      if (data !== '[DONE]' && !chunk?.ok) return Err('failed');
+      const choice = chunk?.ok ? chunk.val.choices[0] : undefined;
+      const version = chunk?.ok ? chunk.val.version : undefined;
+      if (choice && choice.finish_reason !== null) isWhole = true;
+      else if (choice && typeof version === 'number') {
+        tokens.push(choice.text);
+        segments.add(version);
+      }
+    }
+  }
+  return isWhole && tokens.length > 0 ? Ok({ tokens, segments: segments.list() }) : Err('failed');
+};
+
+/**
+ * Makes samples through the entries, so that training work queues there with everything else and
+ * the trainer's key is checked there like any other.
+ */
+const newEntrySampleMaker = (pickEntry: () => string | null): SampleMaker => {
+  const agent = new Agent({
+    headersTimeout: IDLE_TIMEOUT_MS,
+    bodyTimeout: IDLE_TIMEOUT_MS,
+    connections: 256,
+    pipelining: 1,
+  });
+
+  const post = async <T>(
+    path: string,
+    key: string,
+    body: unknown,
+    signal: AbortSignal,
+    read: (answer: AsyncIterable<unknown>) => Promise<Result<T, MakeFault>>,
+  ): Promise<Result<T, MakeFault>> => {
+    const entry = pickEntry();
+    if (!entry) return Err('failed');
+    try {
+      const answer = await request(`${entry}${path}`, {
+        method: 'POST',
+        dispatcher: agent,
+        signal: AbortSignal.any([signal, AbortSignal.timeout(REQUEST_TIMEOUT_MS)]),
+        headers: {
+          authorization: `Bearer ${key}`,
+          'content-type': 'application/json',
+          'x-priority': 'training',
+        },
+        body: JSON.stringify(body),
+      });
+      if (answer.statusCode === 200) return await read(answer.body);
+      await answer.body.dump();
+      return Err(faultOfStatus(answer.statusCode));
+    } catch {
+      return Err('failed');
+    }
+  };
+
+  const readScore = async (body: AsyncIterable<unknown>): Promise<Result<number, MakeFault>> => {
+    const chunks: Buffer[] = [];
+    for await (const bytes of body) chunks.push(bytes as Buffer);
+    const raw = parseJson(Buffer.concat(chunks).toString());
+    const score = raw.ok ? restore(scoreSchema, raw.val) : null;
+    return score?.ok ? Ok(score.val.score) : Err('failed');
+  };
+
+  class EntrySampleMaker extends SampleMaker {
+    generate(
+      key: string,
+      service: string,
+      prompt: string,
+      maxTokens: number,
+      signal: AbortSignal,
+    ): Promise<Result<MadeTokens, MakeFault>> {
+      const body = { model: service, prompt, max_tokens: maxTokens, stream: true };
+      return post('/v1/completions', key, body, signal, readStream);
+    }
+
+    score(
+      key: string,
+      service: string,
+      prompt: string,
+      tokens: readonly string[],
+      signal: AbortSignal,
+    ): Promise<Result<number, MakeFault>> {
+      const body = { prompt, completion: tokens.join('') };
+      return post(`/v1/services/${service}/score`, key, body, signal, readScore);
+    }
+  }
+  return new EntrySampleMaker();
+};
+
+export default newEntrySampleMaker;
--- /dev/null
+++ b/packages/rollouts/src/newSegments.ts
@@ -0,0 +1,16 @@
+import type { VersionSegment } from '@cyclamengate/coordination/sampleRecords';
+
+/** Gathers, token by token, which weights produced a sample. */
+const newSegments = () => {
+  const segments: VersionSegment[] = [];
+  return {
+    add: (version: number): void => {
+      const last = segments.at(-1);
+      if (last?.version === version) last.tokens += 1;
+      else segments.push({ version, tokens: 1 });
+    },
+    list: (): VersionSegment[] => segments.map((segment) => ({ ...segment })),
+  };
+};
+
+export default newSegments;
--- /dev/null
+++ b/packages/rollouts/src/rolloutWeights.ts
@@ -0,0 +1,106 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { Log } from '@cyclamengate/common/newLogger';
+import type { Metrics } from '@cyclamengate/common/newMetrics';
+import type { Follower } from '@cyclamengate/coordination/newFollower';
+import type { Lease } from '@cyclamengate/coordination/newLease';
+import type { UpstreamStatus } from '@cyclamengate/platform/upstreamStatus';
+import type { EffectiveSettings } from '@cyclamengate/settings/newEffectiveSettings';
+import type { EngineStatus } from '@cyclamengate/upstreams/engineStatus';
+import type ModelEngine from '@cyclamengate/upstreams/ModelEngine';
+import { WEIGHT_ORDER_TIMEOUT_MS } from '@cyclamengate/upstreams/newHttpModelEngine';
+
+const CHECK_EVERY_MS = 500;
+/** Lease that must be left beyond an order's timeout. */
+const LEASE_RESERVE_MS = 250;
+/** Part of a service's engines in a failure domain that may be loading at once. */
+const LOADING_PART = 0.5;
+
+export interface WeightRolloutOptions {
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  follower: Follower;
+  readSettings: () => EffectiveSettings;
+  /** Upstreams that this lease's failure domain has now. */
+  readUpstreams: () => UpstreamStatus[];
+  engine: ModelEngine;
+  lease: Lease;
+}
+
+interface Seen {
+  upstream: UpstreamStatus;
+  status: EngineStatus;
+}
+
+/**
+ * Brings each trainer's newest weights onto the engines of one failure domain, while this process
+ * holds the domain's lease.
+ *
+ * A swap can fail half way, an order's answer can be lost, an engine can die or restart with older
+ * weights. So nothing is remembered about engines: each round reads back what every engine says is
+ * in force and orders, as an absolute version, whatever is missing. Never more than a part of the
+ * engines load at once, so the others go on serving and the weight store is not overrun.
+ */
+const rolloutWeights = async (
+  options: WeightRolloutOptions,
+  signal: AbortSignal,
+): Promise<void> => {
+  const { clock, log, metrics, follower, readSettings, readUpstreams, engine, lease } = options;
+
+  const look = async (service: string): Promise<Seen[]> => {
+    const live = readUpstreams().filter(
+      (upstream) => upstream.service === service && upstream.state === 'live',
+    );
+    const seen = await Promise.all(
+      live.map(async (upstream) => ({ upstream, status: await engine.readStatus(upstream.url) })),
+    );
+    return seen.flatMap(({ upstream, status }) =>
+      status.ok && !status.val.isLeaving ? [{ upstream, status: status.val }] : [],
+    );
+  };
+
+  const order = async (
+    { upstream }: Seen,
+    trainer: string,
+    version: number,
+  ): Promise<void> => {
+    // Engines that ignore the fencing number take an order from anybody. The lease is looked at in
+    // the tick in which the order is written, and outlasts the order's timeout.
+    const held = lease.holdFor(WEIGHT_ORDER_TIMEOUT_MS + LEASE_RESERVE_MS);
+    if (!held) return;
+    const taken = await engine.orderWeights(upstream.url, { trainer, version, fence: held.fence });
+    metrics.count(taken.ok ? 'weight_orders_taken' : 'weight_orders_failed');
+    log.info({
+      event: 'weight-order',
+      upstream: upstream.id,
+      trainer,
+      version,
+      outcome: taken.ok ? 'taken' : taken.val,
+    });
+  };
+
+  const bringUp = async (trainer: string, service: string, version: number): Promise<void> => {
+    const seen = await look(service);
+    const behind = seen.filter(
+      ({ status }) =>
+        status.versions[trainer] !== version && status.loading[trainer] === undefined,
+    );
+    const loading = seen.filter(({ status }) => Object.keys(status.loading).length > 0).length;
+    const room = Math.max(1, Math.floor(seen.length * LOADING_PART)) - loading;
+    const chosen = behind.slice(0, Math.max(0, room));
+    await Promise.all(chosen.map((one) => order(one, trainer, version)));
+  };
+
+  while (!signal.aborted) {
+    const next = clock.now() + CHECK_EVERY_MS;
+    if (lease.holdFor(0)) {
+      for (const trainer of readSettings().trainers.values()) {
+        const version = follower.state().trainers[trainer.id]?.version ?? 0;
+        if (version > 0) await bringUp(trainer.id, trainer.service, version);
+      }
+    }
+    await clock.sleepUntil(next, signal);
+  }
+};
+
+export default rolloutWeights;
--- /dev/null
+++ b/packages/routing/src/newAdmission.ts
@@ -0,0 +1,142 @@
+import type Clock from '@cyclamengate/common/Clock';
+import { Err, Ok } from '@cyclamengate/common/outcome';
+import type { Result } from '@cyclamengate/common/outcome';
+import type { Member } from '@cyclamengate/coordination/member';
+import type { EffectiveSettings } from '@cyclamengate/settings/newEffectiveSettings';
+import PQueue from 'p-queue';
+import { newFairQueueClass } from './newFairQueueClass.js';
+import type { FairQueue, TicketOptions } from './newFairQueueClass.js';
+import proportionalPart from './proportionalPart.js';
+import { notRun } from './refusal.js';
+import type { Refusal } from './refusal.js';
+import type { Ticket } from './ticket.js';
+
+/** A refused caller comes back no sooner than this. */
+const SHORTEST_RETRY_MS = 1_000;
+const LONGEST_RETRY_MS = 60_000;
+/** How much of a new observation goes into the average time a request holds its slot. */
+const OBSERVATION_WEIGHT = 0.1;
+const FIRST_GUESS_HOLD_MS = 200;
+
+export interface AdmissionOptions {
+  clock: Clock;
+  service: string;
+  readSettings: () => EffectiveSettings;
+  /** Other live entries, with what they run and want. */
+  otherEntries: () => Member[];
+  /** Requests of a customer that run on this host, in all services. */
+  inFlightOf: (customer: string) => number;
+}
+
+/** Admits requests of one service: shares, limits, deadlines. */
+const newAdmission = (options: AdmissionOptions) => {
+  const { clock, service, readSettings, otherEntries, inFlightOf } = options;
+
+  const limitOf = (customer: string): number => {
+    const limit = readSettings().customers.get(customer)?.maxInFlight ?? 1;
+    const others = otherEntries().map(({ inFlight }) => inFlight[customer] ?? 0);
+    return proportionalPart(limit, inFlightOf(customer), others);
+  };
+
+  const fair = newFairQueueClass({
+    shareOf: (customer) => readSettings().customers.get(customer)?.share ?? 1,
+    hasAllowance: (customer) => inFlightOf(customer) < limitOf(customer),
+  });
+  const queue = new PQueue<FairQueue, TicketOptions>({
+    concurrency: 1,
+    queueClass: fair.FairQueue,
+  });
+  let holdMs = FIRST_GUESS_HOLD_MS;
+
+  const demand = (): number => queue.size + queue.pending;
+
+  /** Sets how many requests run here at once, as this host's part of the service's slots. */
+  const setSlots = (slots: number): void => {
+    const others = otherEntries().map((member) => member.demand[service] ?? 0);
+    queue.concurrency = slots === 0 ? 1 : proportionalPart(slots, demand(), others);
+  };
+
+  /** How long a new request of this customer would wait, from its share of the slots. */
+  const expectedWaitMs = ({ customer, priority }: Ticket): number => {
+    if (queue.pending < queue.concurrency && queue.size === 0) return 0;
+    const competing = new Set([...fair.customersWaiting(priority), customer]);
+    const shareOf = (name: string): number => readSettings().customers.get(name)?.share ?? 1;
+    const all = [...competing].reduce((sum, name) => sum + shareOf(name), 0);
+    const startsPerMs = (queue.concurrency / holdMs) * (shareOf(customer) / all);
+    return (fair.waitingOf(customer) + 1) / startsPerMs;
+  };
+
+  const retryAt = (waitMs: number): number =>
+    clock.now() + Math.min(LONGEST_RETRY_MS, Math.max(SHORTEST_RETRY_MS, waitMs));
+
+  const findRefusal = (ticket: Ticket): Refusal | null => {
+    const { maxQueued = 1 } = readSettings().customers.get(ticket.customer) ?? {};
+    const waitMs = expectedWaitMs(ticket);
+    if (fair.waitingOf(ticket.customer) >= maxQueued) {
+      return notRun('queue-full', 'too many requests of this customer wait', retryAt(waitMs));
+    }
+    if (clock.now() + waitMs <= ticket.deadline) return null;
+    return notRun('deadline-not-reachable', 'it would start after its deadline', retryAt(waitMs));
+  };
+
+  /** Resolves when the ticket may no longer wait: its deadline, or its caller has gone. */
+  const waitGivenUp = async (ticket: Ticket, signal: AbortSignal): Promise<Refusal> => {
+    await clock.sleepUntil(ticket.deadline, signal);
+    ticket.isGivenUp = true;
+    return signal.aborted
+      ? notRun('caller-gone', 'the caller went away before it started')
+      : notRun('deadline-passed', 'it could not start in time', retryAt(expectedWaitMs(ticket)));
+  };
+
+  const hold = async <T>(work: () => Promise<T>): Promise<T> => {
+    const startedAt = clock.now();
+    try {
+      return await work();
+    } finally {
+      const heldMs = Math.max(1, clock.now() - startedAt);
+      holdMs += (heldMs - holdMs) * OBSERVATION_WEIGHT;
+    }
+  };
+
+  /**
+   * Runs work when its turn comes, or refuses it: at once if its deadline can't be met, else the
+   * moment the deadline passes. Work that was refused never starts afterwards.
+   */
+  const run = async <T>(
+    ticket: Ticket,
+    work: () => Promise<T>,
+    signal: AbortSignal,
+  ): Promise<Result<T, Refusal>> => {
+    const refusal = findRefusal(ticket);
+    if (refusal) return Err(refusal);
+    const started = new AbortController();
+    const waiting = AbortSignal.any([signal, started.signal]);
+    const working = queue.add(
+      async () => {
+        if (ticket.isGivenUp) return null;
+        started.abort();
+        return Ok(await hold(work));
+      },
+      { ticket },
+    );
+    const givenUp = waitGivenUp(ticket, waiting);
+    const first = await Promise.race([
+      working,
+      givenUp.then((reason) => (started.signal.aborted ? null : Err(reason))),
+    ]);
+    return first ?? ((await working) as Result<T, Refusal>);
+  };
+
+  return {
+    run,
+    setSlots,
+    demand,
+    /** Corrects the estimate once the true cost is known, in tokens. */
+    correct: (ticket: Ticket, tokens: number): void => fair.charge(ticket, tokens - ticket.cost),
+    waiting: (): number => queue.size,
+  };
+};
+
+export type Admission = ReturnType<typeof newAdmission>;
+
+export default newAdmission;
--- /dev/null
+++ b/packages/routing/src/newRandomChoice.ts
@@ -0,0 +1,14 @@
+import type { Upstream } from '@cyclamengate/upstreams/upstream';
+import UpstreamChoice from './UpstreamChoice.js';
+
+/** Picks blindly; the baseline that other policies are measured against. */
+const newRandomChoice = (random: () => number): UpstreamChoice => {
+  class RandomChoice extends UpstreamChoice {
+    choose(candidates: readonly Upstream[]): Upstream | null {
+      return candidates[Math.floor(random() * candidates.length)] ?? null;
+    }
+  }
+  return new RandomChoice();
+};
+
+export default newRandomChoice;
--- /dev/null
+++ b/packages/routing/src/refusal.ts
@@ -0,0 +1,73 @@
+import type { Priority } from '@cyclamengate/upstreams/generation';
+
+/** What is known of a request that got no whole answer. */
+export type RequestOutcome = 'not-run' | 'unknown' | 'partial';
+
+export type RefusalCode =
+  | 'no-key'
+  | 'two-keys'
+  | 'unknown-key'
+  | 'key-withdrawn'
+  | 'settings-too-old'
+  | 'bad-request'
+  | 'too-large'
+  | 'too-slow'
+  | 'unknown-service'
+  | 'idempotency-key-missing'
+  | 'idempotency-key-used'
+  | 'claim-not-possible'
+  | 'queue-full'
+  | 'deadline-not-reachable'
+  | 'deadline-passed'
+  | 'no-upstream'
+  | 'retries-used-up'
+  | 'deadly-request'
+  | 'upstream-failed'
+  | 'caller-gone'
+  | 'leaving';
+
+/** A final answer other than the whole one. Given at once, never held back. */
+export interface Refusal {
+  code: RefusalCode;
+  outcome: RequestOutcome;
+  message: string;
+  /** When the caller may come back, on the monotonic clock; null where it makes no difference. */
+  retryAt: number | null;
+}
+
+const STATUS_BY_CODE: Readonly<Record<RefusalCode, number>> = {
+  'no-key': 401,
+  'two-keys': 400,
+  'unknown-key': 401,
+  'key-withdrawn': 401,
+  'settings-too-old': 503,
+  'bad-request': 400,
+  'too-large': 413,
+  'too-slow': 408,
+  'unknown-service': 404,
+  'idempotency-key-missing': 400,
+  'idempotency-key-used': 409,
+  'claim-not-possible': 503,
+  'queue-full': 429,
+  'deadline-not-reachable': 503,
+  'deadline-passed': 503,
+  'no-upstream': 503,
+  'retries-used-up': 503,
+  'deadly-request': 422,
+  'upstream-failed': 502,
+  'caller-gone': 499,
+  leaving: 503,
+};
+
+/** The HTTP status of a refusal. */
+export const statusOf = ({ code }: Refusal): number => STATUS_BY_CODE[code];
+
+/** A refusal of something that certainly has not run. */
+export const notRun = (
+  code: RefusalCode,
+  message: string,
+  retryAt: number | null = null,
+): Refusal => ({ code, outcome: 'not-run', message, retryAt });
+
+/** The classes of work, most urgent first. */
+export const PRIORITIES: readonly Priority[] = ['interactive', 'background', 'training'];
