--- a/apps/cli/src/newLogSession.ts
+++ b/apps/cli/src/newLogSession.ts
@@ -42,7 +42,8 @@
       if (page.ok) {
         follower.ingest({ ...page.val, ageMs: 0 });
         const isAtEnd = follower.next() >= page.val.end;
-        if (isAtEnd && follower.isBridging()) return Err('the log holds no checkpoint to start from');
+        if (isAtEnd && follower.isBridging())
+          return Err('the log holds no checkpoint to start from');
         if (isAtEnd) return Ok(undefined);
       } else {
         failures += 1;
--- a/apps/cli/src/publish.ts
+++ b/apps/cli/src/publish.ts
@@ -58,7 +58,9 @@
 const describe = (offset: number, tookMs: number, inForce: InForce | null): string => {
   if (!inForce) return `accepted at offset ${offset}`;
   const silent =
-    inForce.silent.length > 0 ? `; not heard of (dead or cut off): ${inForce.silent.join(', ')}` : '';
+    inForce.silent.length > 0
+      ? `; not heard of (dead or cut off): ${inForce.silent.join(', ')}`
+      : '';
   return inForce.isComplete
     ? `accepted at offset ${offset}, in force on every live host after ${Math.round(tookMs)} ms${silent}`
     : `accepted at offset ${offset}, not yet in force on: ${inForce.behind.join(', ')}${silent}`;
--- a/apps/cli/src/status.ts
+++ b/apps/cli/src/status.ts
@@ -4,13 +4,18 @@
 import type { CommandOutcome } from './commandOutcome.js';
 import newLogSession from './newLogSession.js';
 
+const conditionOf = (member: Member, isSilent: boolean): string => {
+  if (isSilent) return 'silent';
+  return member.isLeaving ? 'leaving' : 'live';
+};
+
 const lineOf = (member: Member, isSilent: boolean): string =>
   [
     member.id.padEnd(24),
     member.role.padEnd(8),
     member.failureDomain.padEnd(14),
     `offset ${member.offset}`.padEnd(14),
-    isSilent ? 'silent' : member.isLeaving ? 'leaving' : 'live',
+    conditionOf(member, isSilent),
   ].join(' ');
 
 const byId = (left: Member, right: Member): number => (left.id < right.id ? -1 : 1);
@@ -29,7 +34,11 @@
   const silent = seen?.ok ? seen.val.silent.sort(byId) : [];
   const text = [
     caughtUp.ok ? `log: offset ${state.offset}` : `log: ${caughtUp.val}`,
-    `subtrees: ${Object.entries(state.settings).map(([path, { revision }]) => `${path} (revision ${revision})`).join(', ') || 'none'}`,
+    `subtrees: ${
+      Object.entries(state.settings)
+        .map(([path, { revision }]) => `${path} (revision ${revision})`)
+        .join(', ') || 'none'
+    }`,
     'members:',
     ...live.map((member) => `  ${lineOf(member, false)}`),
     ...silent.map((member) => `  ${lineOf(member, true)}`),
--- a/apps/control/src/newControl.ts
+++ b/apps/control/src/newControl.ts
@@ -23,10 +23,7 @@
     const reports = newHttpUsageReports(settings.platform.reports);
     const windowMs = settings.usageWindowSeconds * 1_000;
     tasks.start('usage reports', (signal) =>
-      reportUsage(
-        { clock, log, follower, writer, lease: reportsLease, reports, windowMs },
-        signal,
-      ),
+      reportUsage({ clock, log, follower, writer, lease: reportsLease, reports, windowMs }, signal),
     );
     tasks.start('checkpoints', (signal) =>
       writeCheckpoints(clock, follower, writer, checkpointLease, signal),
--- a/apps/entry/src/newCompletionHandler.ts
+++ b/apps/entry/src/newCompletionHandler.ts
@@ -3,7 +3,7 @@
 import { sendJson } from '@cyclamengate/common/handler';
 import type { HandlerRequest } from '@cyclamengate/common/handler';
 import newId from '@cyclamengate/common/newId';
-import { Err, Ok } from '@cyclamengate/common/outcome';
+import { Err } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
 import { parseJson } from '@cyclamengate/common/readBody';
 import { formatProblems, restore } from '@cyclamengate/common/restore';
--- a/apps/entry/src/newEntry.ts
+++ b/apps/entry/src/newEntry.ts
@@ -68,8 +68,7 @@
     clock,
     follower,
     writer,
-    isLive: (host) =>
-      runtime.membership.live().some(({ incarnation }) => incarnation === host),
+    isLive: (host) => runtime.membership.live().some(({ incarnation }) => incarnation === host),
   });
   const parts: EntryParts = {
     daemon,
@@ -98,6 +97,15 @@
   runtime.onSettings(openRequests.checkKeys);
   metrics.gauge('open_requests', openRequests.size);
 
+  /** Lets every open request come to its end, hands its usage to the log, and stops. */
+  const drain = async (): Promise<void> => {
+    await daemon.announceLeaving();
+    gate.close();
+    await openRequests.whenEmpty();
+    await meter.flush();
+    await daemon.stop();
+  };
+
   const start = async (): Promise<Running> => {
     await daemon.start();
     const hostList = newHttpHostList(settings.platform.hosts);
@@ -111,15 +119,6 @@
     return { drain };
   };
 
-  /** Lets every open request come to its end, hands its usage to the log, and stops. */
-  const drain = async (): Promise<void> => {
-    await daemon.announceLeaving();
-    gate.close();
-    await openRequests.whenEmpty();
-    await meter.flush();
-    await daemon.stop();
-  };
-
   return { start };
 };
 
--- a/apps/entry/src/newGate.ts
+++ b/apps/entry/src/newGate.ts
@@ -59,7 +59,8 @@
       return Err(notRun('settings-too-old', message, clock.now() + SETTINGS_FRESH_MS));
     }
     const priority = prioritySchema.safeParse(request.headers['x-priority'] ?? 'interactive');
-    if (!priority.success) return Err(notRun('bad-request', 'x-priority: allowed: interactive, background, training'));
+    if (!priority.success)
+      return Err(notRun('bad-request', 'x-priority: allowed: interactive, background, training'));
     const deadline = clock.now() + readWaitMs(request.headers['x-timeout-ms']);
     const body = await readWhole(request);
     if (!body.ok) return body;
--- a/apps/entry/src/newServiceHandler.ts
+++ b/apps/entry/src/newServiceHandler.ts
@@ -19,7 +19,11 @@
 const CALL_PATH = /^\/v1\/services\/([a-z0-9-]+)\/([\w./-]*)$/;
 const KEYLIKE = /cgk_/;
 const methodSchema = z.enum(['GET', 'POST', 'PUT', 'DELETE']);
-const idempotencyKeySchema = z.string().min(1).max(200).regex(/^[\w.:-]+$/);
+const idempotencyKeySchema = z
+  .string()
+  .min(1)
+  .max(200)
+  .regex(/^[\w.:-]+$/);
 
 interface Target {
   service: ServiceSettings;
--- a/apps/rollout/src/newRollout.ts
+++ b/apps/rollout/src/newRollout.ts
@@ -57,17 +57,17 @@
   app.get('/v1/trainers/:trainer/steps/:step/samples', handler(onFault, handlers.sendSamples));
   metrics.gauge('payload_bytes', store.bytes);
 
-  const start = async (): Promise<Running> => {
-    await daemon.start();
-    return { drain };
-  };
-
   /** Samples not bound yet are made anew by whichever process the trainer asks next. */
   const drain = async (): Promise<void> => {
     await daemon.announceLeaving();
     await daemon.stop();
   };
 
+  const start = async (): Promise<Running> => {
+    await daemon.start();
+    return { drain };
+  };
+
   return { start };
 };
 
--- a/apps/standin/src/newEngineStandin.ts
+++ b/apps/standin/src/newEngineStandin.ts
@@ -95,7 +95,12 @@
         return;
       }
       if (faults.use(id, 'silent')) return;
-      write({ requestId: answerId, index, text: ` ${prompt.length}.${index}`, version: newestVersion() });
+      write({
+        requestId: answerId,
+        index,
+        text: ` ${prompt.length}.${index}`,
+        version: newestVersion(),
+      });
       index += 1;
       await sleep(options.tokenDelayMs);
     }
@@ -148,22 +153,34 @@
     if (isLeaving) return { status: 503, body: { error: 'not run' } };
     await sleep(PORTAL_DELAY_MS);
     const text = JSON.stringify(call);
-    return { status: 200, body: { upstream: id, path: request.path, score: (text.length % 10) / 10 } };
+    return {
+      status: 200,
+      body: { upstream: id, path: request.path, score: (text.length % 10) / 10 },
+    };
   };
 
-  app.get('/v1/status', faulty(faults, `${id}-status`, async () => ({ status: 200, body: status() })));
+  app.get(
+    '/v1/status',
+    faulty(faults, `${id}-status`, async () => ({ status: 200, body: status() })),
+  );
   app.post('/v1/generate', faulty(faults, `${id}-generate`, generate));
   app.post('/v1/weights', faulty(faults, `${id}-weights`, order));
-  app.get('/served', faulty(faults, `${id}-served`, async () => ({ status: 200, body: served })));
-  app.get('/call/*', faulty(faults, `${id}-call`, async (request) => {
-    served.push({
-      requestId: String(request.headers['x-request-id']),
-      customer: String(request.headers['x-customer']),
-      headers: request.headers,
-      path: request.path,
-    });
-    return { status: 200, body: { upstream: id, path: request.path } };
-  }));
+  app.get(
+    '/served',
+    faulty(faults, `${id}-served`, async () => ({ status: 200, body: served })),
+  );
+  app.get(
+    '/call/*',
+    faulty(faults, `${id}-call`, async (request) => {
+      served.push({
+        requestId: String(request.headers['x-request-id']),
+        customer: String(request.headers['x-customer']),
+        headers: request.headers,
+        path: request.path,
+      });
+      return { status: 200, body: { upstream: id, path: request.path } };
+    }),
+  );
   app.post('/call/*', faulty(faults, `${id}-call`, runCall));
 
   await new Promise<void>((resolve) => {
--- a/apps/standin/src/newLogStandin.ts
+++ b/apps/standin/src/newLogStandin.ts
@@ -33,12 +33,11 @@
   const waitForRecords = (waitMs: number): Promise<void> =>
     new Promise((resolve) => {
       const finish = (): void => {
-        clearTimeout(timer);
         waiting.delete(finish);
         resolve();
       };
-      const timer = setTimeout(finish, waitMs);
       waiting.add(finish);
+      setTimeout(finish, waitMs);
     });
 
   const read = async (from: number, waitMs: number): Promise<LogPage> => {
--- a/apps/standin/src/newPlatformStandin.ts
+++ b/apps/standin/src/newPlatformStandin.ts
@@ -45,7 +45,10 @@
       return wanted && { status: 200, body: wanted };
     }),
   );
-  app.get('/counts', faulty(faults, 'switches', async () => ({ status: 200, body: log.counts() })));
+  app.get(
+    '/counts',
+    faulty(faults, 'switches', async () => ({ status: 200, body: log.counts() })),
+  );
 
   const server = createServer((request, response) => app.handler(request as never, response));
   await new Promise<void>((resolve) => {
--- a/apps/standin/src/newReportsStandin.ts
+++ b/apps/standin/src/newReportsStandin.ts
@@ -17,7 +17,10 @@
         return report && { status: 200, body: {} };
       }),
     );
-    app.get('/reports', faulty(faults, 'reports-read', async () => ({ status: 200, body: received })));
+    app.get(
+      '/reports',
+      faulty(faults, 'reports-read', async () => ({ status: 200, body: received })),
+    );
   };
 
   return { mount, received: () => received };
--- a/apps/standin/src/newTrainerStandin.ts
+++ b/apps/standin/src/newTrainerStandin.ts
@@ -67,7 +67,7 @@
     await askUntil('POST', '/steps', wanted);
     const samples: StepSummary['samples'] = [];
     let host = current;
-    for (let isComplete = false; !isComplete; ) {
+    for (let isComplete = false; !isComplete;) {
       // A rollout process that died takes its runner with it: the step is asked for again elsewhere.
       if (host !== current) {
         host = current;
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,8 @@
 import js from '@eslint/js';
 import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
 
-/** Airbnb's rules, with the house style's lines and the formatter before them. */
+/** Airbnb's rules; the formatter and the house style's own lines go before them. */
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**'] },
   { name: 'js/config', ...js.configs.recommended },
@@ -12,4 +13,39 @@
   ...configs.node.recommended,
   plugins.typescriptEslint,
   ...configs.base.typescript,
+  prettier,
+  {
+    settings: { node: { version: '>=20.18.0' } },
+    rules: {
+      // Node resolves ES modules by their whole file name.
+      'import-x/extensions': 'off',
+      // House style: one task for each connection and peer, written straight down, so its loop awaits.
+      'no-await-in-loop': 'off',
+      // As above: such a loop is a for…of. What else Airbnb restricts stays restricted.
+      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      // House style: factory functions close over their state, so methods need no `this`.
+      'class-methods-use-this': 'off',
+      // The fold moves one shared state forward in place; copying it for each record costs too much.
+      'no-param-reassign': ['error', { props: false }],
+    },
+  },
+  {
+    files: ['**/startProgram.ts', '**/newDaemon.ts', 'apps/*/src/main.ts', '**/newLogSession.ts'],
+    // A program's frame is where a process ends.
+    rules: { 'n/no-process-exit': 'off' },
+  },
+  {
+    files: ['**/tests/*.ts'],
+    // Tests use what development has.
+    rules: { 'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }] },
+  },
+  {
+    files: ['scripts/*.js'],
+    // The scripts run what was built, not a package of their own.
+    // They are development tools, and use what development has.
+    rules: {
+      'import-x/no-relative-packages': 'off',
+      'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }],
+    },
+  },
 ];
--- a/packages/common/src/backoff.ts
+++ b/packages/common/src/backoff.ts
@@ -7,6 +7,7 @@
  * @returns a deadline on the clock that gave `now`
  */
 const backoff = (now: number, failures: number, random: () => number = Math.random): number =>
-  now + Math.min(LONGEST_DELAY_MS, FIRST_DELAY_MS * 2 ** Math.min(failures, 10)) * (0.5 + random() / 2);
+  now +
+  Math.min(LONGEST_DELAY_MS, FIRST_DELAY_MS * 2 ** Math.min(failures, 10)) * (0.5 + random() / 2);
 
 export default backoff;
--- a/packages/common/src/newSystemClock.ts
+++ b/packages/common/src/newSystemClock.ts
@@ -9,15 +9,16 @@
       resolve();
       return;
     }
+    const stop = new AbortController();
+    const timer = setTimeout(() => {
+      stop.abort();
+      resolve();
+    }, delayMs);
     const onAbort = (): void => {
       clearTimeout(timer);
       resolve();
     };
-    const timer = setTimeout(() => {
-      signal?.removeEventListener('abort', onAbort);
-      resolve();
-    }, delayMs);
-    signal?.addEventListener('abort', onAbort, { once: true });
+    signal?.addEventListener('abort', onAbort, { once: true, signal: stop.signal });
   });
 
 /** The clock of the machine. */
--- a/packages/coordination/src/applyLease.ts
+++ b/packages/coordination/src/applyLease.ts
@@ -3,6 +3,9 @@
 import type { LeaseClaim, LeaseRelease } from './leaseRecords.js';
 import type { LeaseStates } from './leaseState.js';
 
+/** A claim by the one who holds the lease already. */
+export const RENEWED: Decision = { accepted: true, reason: 'renewed' };
+
 /** What a claim of a lease nobody has held yet is based on. */
 export const NEVER_HELD = -1;
 
@@ -24,9 +27,10 @@
   const stale = findStale(leases, claim);
   if (stale) return rejected(stale);
   const before = leases[claim.lease];
-  const fence = before && before.holder === claim.holder ? before.fence : offset;
+  const isRenewal = before !== undefined && before.holder === claim.holder;
+  const fence = isRenewal ? before.fence : offset;
   leases[claim.lease] = { holder: claim.holder, fence, offset };
-  return ACCEPTED;
+  return isRenewal ? RENEWED : ACCEPTED;
 };
 
 /** Gives a lease back; only its holder's word counts. */
--- a/packages/coordination/src/auditEntryOf.ts
+++ b/packages/coordination/src/auditEntryOf.ts
@@ -1,5 +1,6 @@
 import type { LogRecord } from '@cyclamengate/platform/logRecord';
 import type { Decision } from '@cyclamengate/settings/decision';
+import { RENEWED } from './applyLease.js';
 import type { AuditEntry } from './auditEntry.js';
 import type { Envelope, SystemRecord } from './systemRecord.js';
 
@@ -39,7 +40,9 @@
   { accepted, reason }: Decision,
 ): AuditEntry | null => {
   const line = lineOf(record);
-  if (!line) return null;
+  // A holder renews every few seconds; the trail tells of the lease's moves.
+  const isRenewal = record.type === 'lease-claim' && reason === RENEWED.reason;
+  if (!line || isRenewal) return null;
   const who = record.type === 'settings-change' ? record.operator : writer;
   const action = record.type === 'audit-note' ? record.action : record.type;
   return { offset, at, writer: who, action, ...line, accepted, reason };
--- a/packages/coordination/src/newDaemon.ts
+++ b/packages/coordination/src/newDaemon.ts
@@ -70,7 +70,9 @@
   };
 
   const isReady = (): boolean =>
-    !runtime.self.isLeaving && !runtime.follower.isBridging() && runtime.follower.state().offset >= 0;
+    !runtime.self.isLeaving &&
+    !runtime.follower.isBridging() &&
+    runtime.follower.state().offset >= 0;
 
   metrics.gauge('settings_offset', () => runtime.follower.state().offset);
   metrics.gauge('members_live', () => runtime.membership.live().length);
@@ -82,7 +84,10 @@
   );
 
   const app = polka();
-  app.get('/live', handler(onFault, async (_, response) => sendJson(response, 200, { isLive: true })));
+  app.get(
+    '/live',
+    handler(onFault, async (_, response) => sendJson(response, 200, { isLive: true })),
+  );
   app.get(
     '/ready',
     handler(onFault, async (_, response) =>
--- a/packages/coordination/src/newFollower.ts
+++ b/packages/coordination/src/newFollower.ts
@@ -24,6 +24,8 @@
   let currentAt = -Infinity;
   let skipped = 0;
 
+  const nextOffset = (): number => (aside.at(-1)?.offset ?? fold.state().offset) + 1;
+
   const wake = (): void => {
     const woken = [...waiting];
     waiting.clear();
@@ -48,10 +50,16 @@
     wake();
   };
 
-  const applyContiguous = (records: LogRecord[]): void => {
-    records
-      .filter(({ offset }) => offset > fold.state().offset)
-      .forEach((record) => applyOne(record));
+  const applyContiguous = (records: LogRecord[]): void =>
+    records.forEach((record) => {
+      if (record.offset === fold.state().offset + 1) applyOne(record);
+    });
+
+  /** Applies what was kept aside, now that the hole before it is closed. */
+  const applyAside = (): void => {
+    const later = aside;
+    aside = [];
+    applyContiguous(later);
   };
 
   /**
@@ -60,16 +68,17 @@
    * for a checkpoint that covers everything before the records it has.
    */
   const bridge = (records: LogRecord[]): void => {
-    aside.push(...records);
+    const fresh = records.filter(({ offset }) => offset >= nextOffset());
+    const isContiguous = fresh[0]?.offset === nextOffset();
+    aside = isContiguous ? [...aside, ...fresh] : fresh;
     const oldest = aside[0]?.offset ?? 0;
     const state = aside
       .map(findCheckpoint)
       .findLast((found) => found !== null && found.offset >= oldest - 1);
     if (!state) return;
-    const later = aside;
-    aside = [];
     load(state);
-    applyContiguous(later);
+    aside = aside.filter(({ offset }) => offset > state.offset);
+    applyAside();
   };
 
   const ingest = ({ records, ageMs }: SourcePage): void => {
@@ -77,8 +86,12 @@
     const fresh = records.filter(({ offset }) => offset > fold.state().offset);
     const [next] = fresh;
     if (!next) return;
-    if (aside.length === 0 && next.offset === fold.state().offset + 1) applyContiguous(fresh);
-    else bridge(fresh);
+    if (next.offset === fold.state().offset + 1) {
+      applyContiguous(fresh);
+      if (aside.some(({ offset }) => offset === fold.state().offset + 1)) applyAside();
+    } else {
+      bridge(fresh);
+    }
     wake();
   };
 
@@ -99,17 +112,14 @@
   return {
     ingest,
     load: (state: SystemState): void => {
-      aside = aside.filter(({ offset }) => offset > state.offset);
       load(state);
-      const later = aside;
-      aside = [];
-      if (later.length > 0) ingest({ records: later, first: 0, ageMs: Infinity });
+      if (aside.some(({ offset }) => offset <= fold.state().offset + 1)) applyAside();
     },
     waitPast,
     ring,
     state: fold.state,
     /** The offset to read from next. */
-    next: (): number => (aside.at(-1)?.offset ?? fold.state().offset) + 1,
+    next: nextOffset,
     isBridging: (): boolean => aside.length > 0,
     /** When, on the monotonic clock, this state was last known to be the log's newest. */
     currentAt: (): number => currentAt,
--- a/packages/coordination/src/newLease.ts
+++ b/packages/coordination/src/newLease.ts
@@ -18,6 +18,23 @@
   deadline: number;
 }
 
+/** A lease as this process holds it, or not. */
+export interface Lease {
+  /** Claims and renews until the signal aborts. */
+  run: (signal: AbortSignal) => Promise<void>;
+  /**
+   * The lease, if it is held for at least so much longer. To be asked in the same tick as the
+   * write that it guards, with the write's timeout as the time needed.
+   */
+  holdFor: (neededMs: number) => HeldLease | null;
+  /** Gives the lease back, so that a planned restart costs no term. */
+  release: () => Promise<void>;
+}
+
+/** Whether a lease that was looked at before is still held, in the same tenure, for so much longer. */
+export const isSameHold = (lease: Lease, before: HeldLease, neededMs: number): boolean =>
+  lease.holdFor(neededMs)?.fence === before.fence;
+
 export interface LeaseOptions {
   clock: Clock;
   follower: Follower;
@@ -37,7 +54,7 @@
  * deadline from before it sent the claim, the others from when they read it, and both only look at
  * their own monotonic clock: the holder's view always ends first.
  */
-const newLease = (options: LeaseOptions) => {
+export const newLease = (options: LeaseOptions): Lease => {
   const { clock, follower, writer, name, holder, deferMs } = options;
   const sentAt = new Map<string, number>();
   let held: HeldLease | null = null;
@@ -68,7 +85,11 @@
     const id = newId('claim');
     const basedOn = standing()?.offset ?? NEVER_HELD;
     sentAt.set(id, now);
-    await writer.write({ type: 'lease-claim', lease: name, holder, basedOn }, now + LEASE_TERM_MS, id);
+    await writer.write(
+      { type: 'lease-claim', lease: name, holder, basedOn },
+      now + LEASE_TERM_MS,
+      id,
+    );
     // A claim that lands later than this has ended before it began.
     sentAt.forEach((sent, old) => {
       if (sent + LEASE_TERM_MS < clock.now()) sentAt.delete(old);
@@ -93,26 +114,20 @@
     }
   };
 
-  /**
-   * The lease, if it is held for at least so much longer. To be asked in the same tick as the
-   * write that it guards, with the write's timeout as the time needed.
-   */
   const holdFor = (neededMs: number): HeldLease | null =>
     held && held.deadline - neededMs > clock.now() ? held : null;
 
-  /** Gives the lease back, so that a planned restart costs no term. */
   const release = async (): Promise<void> => {
     isStopping = true;
     const lease = standing();
     if (!held || !lease) return;
     held = null;
     const deadline = clock.now() + POLL_MS * 5;
-    await writer.write({ type: 'lease-release', lease: name, holder, basedOn: lease.offset }, deadline);
+    await writer.write(
+      { type: 'lease-release', lease: name, holder, basedOn: lease.offset },
+      deadline,
+    );
   };
 
   return { run, holdFor, release };
 };
-
-export type Lease = ReturnType<typeof newLease>;
-
-export default newLease;
--- a/packages/coordination/src/newLogWriter.ts
+++ b/packages/coordination/src/newLogWriter.ts
@@ -122,9 +122,7 @@
         await clock.sleepUntil(next, signal);
       }
     }
-    awaited.forEach((pending) =>
-      settle(pending, Err(pending.isSent ? 'unknown' : 'not-written')),
-    );
+    awaited.forEach((pending) => settle(pending, Err(pending.isSent ? 'unknown' : 'not-written')));
   };
 
   /**
--- a/packages/coordination/src/newMembership.ts
+++ b/packages/coordination/src/newMembership.ts
@@ -42,8 +42,7 @@
     });
   };
 
-  const others = (): Member[] =>
-    [...sightings.values()].filter(isLive).map(({ member }) => member);
+  const others = (): Member[] => [...sightings.values()].filter(isLive).map(({ member }) => member);
 
   const pick = (members: Member[], count: number): Member[] => {
     if (members.length <= count) return members;
@@ -62,9 +61,7 @@
     live: (): Member[] => [readSelf(), ...others()],
     /** Members whose heartbeat has stopped, but not long ago. */
     silent: (): Member[] =>
-      [...sightings.values()]
-        .filter((sighting) => !isLive(sighting))
-        .map(({ member }) => member),
+      [...sightings.values()].filter((sighting) => !isLive(sighting)).map(({ member }) => member),
     /** What to tell a peer. */
     tell: (): Member[] => [readSelf(), ...pick(others(), MEMBERS_TOLD)],
     highestOffset: (): number => Math.max(-1, ...others().map(({ offset }) => offset)),
--- a/packages/coordination/src/newPeer.ts
+++ b/packages/coordination/src/newPeer.ts
@@ -73,7 +73,7 @@
 
   return {
     url,
-    source: new PeerSource() as RecordSource,
+    source: new PeerSource(),
     exchange: (told: Exchange): Promise<Result<Exchange, PeerFault>> =>
       ask((signal) => client.exchange.mutate(told, { signal }), exchangeSchema),
     members: (): Promise<Result<MembersSeen, PeerFault>> =>
--- a/packages/coordination/src/newRuntime.ts
+++ b/packages/coordination/src/newRuntime.ts
@@ -17,7 +17,7 @@
 import gossip from './gossip.js';
 import type { Member, MemberRole } from './member.js';
 import newFollower from './newFollower.js';
-import newLease from './newLease.js';
+import { newLease } from './newLease.js';
 import type { Lease } from './newLease.js';
 import { newLogSource } from './newLogSource.js';
 import newLogWriter from './newLogWriter.js';
@@ -187,7 +187,10 @@
   const deferMs = (name: string, preferredDomain: string | null): number => {
     const candidates = membership.live().filter((member) => member.role === role);
     const isPreferred = (member: Member): boolean => member.failureDomain === preferredDomain;
-    const order = rendezvousRank(name, candidates.map(({ id }) => id));
+    const order = rendezvousRank(
+      name,
+      candidates.map(({ id }) => id),
+    );
     const preferred = candidates.filter(isPreferred).map(({ id }) => id);
     const queue = [
       ...order.filter((id) => preferred.includes(id)),
--- a/packages/coordination/src/newSuspects.ts
+++ b/packages/coordination/src/newSuspects.ts
@@ -26,7 +26,9 @@
     learn: (told: readonly Suspect[]): void =>
       told.forEach(({ digest, upstreams }) => {
         const known = upstreamsByDigest.get(digest);
-        upstreams.filter((upstream) => !known?.has(upstream)).forEach((upstream) => add(digest, upstream));
+        upstreams
+          .filter((upstream) => !known?.has(upstream))
+          .forEach((upstream) => add(digest, upstream));
       }),
     tell: (): Suspect[] =>
       [...upstreamsByDigest]
--- a/packages/coordination/src/peerRouter.ts
+++ b/packages/coordination/src/peerRouter.ts
@@ -49,9 +49,7 @@
 /** The procedures through which the system's own processes talk. */
 export const newPeerRouter = (service: PeerService) =>
   t.router({
-    exchange: t.procedure
-      .input(exchangeSchema)
-      .mutation(({ input }) => service.exchange(input)),
+    exchange: t.procedure.input(exchangeSchema).mutation(({ input }) => service.exchange(input)),
     records: t.procedure
       .input(z.object({ from: z.int(), waitMs: z.int().min(0).max(LONGEST_WAIT_MS) }))
       .query(({ input }) => service.records(input.from, input.waitMs)),
--- a/packages/coordination/src/usageRecords.ts
+++ b/packages/coordination/src/usageRecords.ts
@@ -2,10 +2,7 @@
 import { z } from 'zod';
 
 /** Figures by window (start, milliseconds since the epoch) and customer. */
-export const windowFiguresSchema = z.record(
-  z.string(),
-  z.record(z.string(), usageFigureSchema),
-);
+export const windowFiguresSchema = z.record(z.string(), z.record(z.string(), usageFigureSchema));
 
 export type WindowFigures = z.infer<typeof windowFiguresSchema>;
 
--- /dev/null
+++ b/packages/coordination/tests/newFold.model.test.ts
@@ -0,0 +1,186 @@
+import type { LogRecord } from '@cyclamengate/platform/logRecord';
+import test from 'ava';
+import fc from 'fast-check';
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import newFold from '../src/newFold.js';
+import type { SystemRecord } from '../src/systemRecord.js';
+import newFollower from '../src/newFollower.js';
+import { bodyOf, changeOf, rootSubtree } from './recordHelpers.js';
+
+const RUNS = 150;
+const small = fc.integer({ min: 0, max: 4 });
+const offset = fc.integer({ min: -1, max: 40 });
+
+const anyRecord: fc.Arbitrary<SystemRecord> = fc.oneof(
+  fc
+    .tuple(fc.constantFrom('/', '/a', '/a/b'), offset, fc.constantFrom('admin', 'nobody'), small)
+    .map(([path, basedOn, operator, share]) =>
+      changeOf(
+        path,
+        basedOn,
+        path === '/' ? rootSubtree : { customers: [{ id: `c${path.length}`, share: share + 1 }] },
+        operator,
+      ),
+    ),
+  fc
+    .tuple(fc.constantFrom('reports', 'x'), fc.constantFrom('h1', 'h2'), offset)
+    .map(([lease, holder, basedOn]): SystemRecord => ({
+      type: 'lease-claim',
+      lease,
+      holder,
+      basedOn,
+    })),
+  fc
+    .tuple(fc.constantFrom('h1', 'h2'), small, small)
+    .map(([host, sequence, tokens]): SystemRecord => ({
+      type: 'usage-delta',
+      host,
+      sequence,
+      windows: {
+        [sequence * 10]: { players: { requests: 1, promptTokens: 0, outputTokens: tokens } },
+      },
+    })),
+  fc
+    .tuple(small, offset)
+    .map(([window, fence]): SystemRecord => ({ type: 'usage-close', window: window * 10, fence })),
+  fc.tuple(small, small).map(([key, attempt]): SystemRecord => ({
+    type: 'call-claim',
+    customer: 'players',
+    idempotencyKey: `k${key}`,
+    requestDigest: 'd',
+    attempt: `a${attempt}`,
+  })),
+  small.map((version): SystemRecord => ({
+    type: 'weights-published',
+    trainer: 'trainer',
+    version,
+  })),
+  small.map((step): SystemRecord => ({
+    type: 'step-opened',
+    trainer: 'trainer',
+    step,
+    groups: 2,
+    groupSize: 2,
+  })),
+  fc.tuple(small, small, small, small).map(([step, slot, attempt, version]): SystemRecord => ({
+    type: 'sample-bound',
+    trainer: 'trainer',
+    step,
+    slot,
+    attempt,
+    digest: `s${slot}${attempt}${version}`,
+    holders: ['h1'],
+    segments: [{ version, tokens: 3 }],
+  })),
+  fc.tuple(small, small, small).map(([step, slot, attempt]): SystemRecord => ({
+    type: 'slot-released',
+    trainer: 'trainer',
+    step,
+    slot,
+    attempt,
+    reason: 'lost',
+  })),
+);
+
+/** Records in the log's order; every id may land several times, anywhere. */
+const anyLog: fc.Arbitrary<LogRecord[]> = fc
+  .array(fc.tuple(anyRecord, fc.integer({ min: 0, max: 30 })), { maxLength: 60 })
+  .map((entries) => {
+    const bodies = new Map<number, string>();
+    const first = bodyOf(changeOf('/', -1, rootSubtree));
+    const landed = entries.map(([record, id], index) => {
+      const isRepeated = bodies.has(id) && index % 3 === 0;
+      const body = isRepeated ? (bodies.get(id) as string) : bodyOf(record);
+      bodies.set(id, body);
+      return body;
+    });
+    return [first, ...landed].map((body, index) => ({ offset: index, at: index, body }));
+  });
+
+const foldAll = (records: LogRecord[]) => {
+  const fold = newFold();
+  const folded = records.map((record) => fold.apply(record));
+  return { state: fold.state(), folded };
+};
+
+const checkpointOf = (records: LogRecord[], covered: number): string => {
+  const { state } = foldAll(records.slice(0, covered + 1));
+  return bodyOf({ type: 'checkpoint', covers: covered, state: structuredClone(state) });
+};
+
+// A host may join late, be paused for longer than the log keeps records, or get its records from
+// peers twice and in pieces. A user would see two hosts that enforce different settings for ever.
+test('readers that start from any checkpoint end where a reader of all records ends', (t) => {
+  fc.assert(
+    fc.property(anyLog, fc.nat(), fc.nat(), (log, covers, cut) => {
+      const covered = covers % log.length;
+      const forgotten = cut % (covered + 1);
+      const records = [
+        ...log,
+        { offset: log.length, at: log.length, body: checkpointOf(log, covered) },
+      ];
+      const late = newFollower(newManualClock());
+      const kept = records.slice(forgotten);
+      const half = Math.ceil(kept.length / 2);
+      late.ingest({ records: kept.slice(0, half), first: forgotten, ageMs: 0 });
+      late.ingest({ records: kept, first: forgotten, ageMs: 0 });
+      t.deepEqual(late.state(), foldAll(records).state);
+    }),
+    { numRuns: RUNS },
+  );
+});
+
+// An append's answer is lost and the writer sends the record again, so it lands twice, the second
+// time perhaps long after others. A user would see an old change come back over a newer one.
+test('nothing that was accepted is reverted by a record that lands late or twice', (t) => {
+  fc.assert(
+    fc.property(anyLog, (log) => {
+      const fold = newFold();
+      const revisions = new Map<string, number>();
+      const fences = new Map<string, number>();
+      log.forEach((record) => {
+        fold.apply(record);
+        const { settings, leases, trainers } = fold.state();
+        Object.entries(settings).forEach(([path, { revision }]) => {
+          t.true(revision >= (revisions.get(path) ?? -1));
+          revisions.set(path, revision);
+        });
+        Object.entries(leases).forEach(([name, { fence }]) => {
+          t.true(fence >= (fences.get(name) ?? -1));
+          fences.set(name, fence);
+        });
+        Object.values(trainers).forEach(({ steps }) =>
+          Object.values(steps).forEach(({ delivery, slots }) => {
+            t.is(new Set(delivery).size, delivery.length);
+            t.is(delivery.length, slots.filter(({ sample }) => sample).length);
+          }),
+        );
+      });
+      const accepted = new Map<string, number>();
+      foldAll(log).folded.forEach((folded) => {
+        if (folded?.decision.accepted) accepted.set(folded.id, (accepted.get(folded.id) ?? 0) + 1);
+      });
+      t.true([...accepted.values()].every((count) => count === 1));
+    }),
+    { numRuns: RUNS },
+  );
+});
+
+// A newer version of the program writes records that this one does not know. A reader that stopped
+// at them would serve withdrawn keys until it is replaced.
+test('a record of a newer format or of no format at all stops no reader', (t) => {
+  const fold = newFold();
+  fold.apply({ offset: 0, at: 0, body: bodyOf(changeOf('/', -1, rootSubtree)) });
+  t.is(
+    fold.apply({ offset: 1, at: 1, body: '{"version":9,"id":"x","writer":"y","record":{}}' }),
+    null,
+  );
+  t.is(fold.apply({ offset: 2, at: 2, body: 'not JSON' }), null);
+  t.is(fold.apply({ offset: 3, at: 3, body: bodyOf({ type: 'new' } as never) }), null);
+  fold.apply({
+    offset: 4,
+    at: 4,
+    body: bodyOf(changeOf('/a', -1, { customers: [{ id: 'late' }] })),
+  });
+  t.is(fold.state().settings['/a']?.revision, 4);
+});
--- a/packages/platform/src/UpstreamOrders.ts
+++ b/packages/platform/src/UpstreamOrders.ts
@@ -8,6 +8,12 @@
   /** Reads what the platform runs in a failure domain now, without the host list's lag. */
   abstract read(failureDomain: string): Promise<Result<UpstreamStatus[], PlatformFault>>;
 
-  /** Orders an absolute number, so that the same order twice starts nothing twice. */
-  abstract place(order: UpstreamOrder): Promise<Result<UpstreamStatus[], PlatformFault>>;
+  /**
+   * Orders an absolute number, so that the same order twice starts nothing twice.
+   * @param isStillHeld asked again in the moment of writing; without its yes nothing is ordered
+   */
+  abstract place(
+    order: UpstreamOrder,
+    isStillHeld: () => boolean,
+  ): Promise<Result<UpstreamStatus[], PlatformFault>>;
 }
--- a/packages/platform/src/UsageReports.ts
+++ b/packages/platform/src/UsageReports.ts
@@ -4,5 +4,9 @@
 
 /** The platform's interface that takes usage reports. */
 export default abstract class UsageReports {
-  abstract send(report: UsageReport): Promise<Result<void, PlatformFault>>;
+  /** @param isStillHeld asked again in the moment of writing; without its yes nothing is sent */
+  abstract send(
+    report: UsageReport,
+    isStillHeld: () => boolean,
+  ): Promise<Result<void, PlatformFault>>;
 }
--- a/packages/platform/src/newHttpPlatformLog.ts
+++ b/packages/platform/src/newHttpPlatformLog.ts
@@ -18,10 +18,7 @@
   const caller = newHttpCaller(url, TIMEOUT_MS);
 
   class HttpPlatformLog extends PlatformLog {
-    async append(
-      bodies: string[],
-      signal?: AbortSignal,
-    ): Promise<Result<number, PlatformFault>> {
+    async append(bodies: string[], signal?: AbortSignal): Promise<Result<number, PlatformFault>> {
       const answer = await caller.call('POST', '/log/append', appendedSchema, { bodies }, signal);
       return answer.ok ? Ok(answer.val.offset) : answer;
     }
--- a/packages/platform/src/newHttpUpstreamOrders.ts
+++ b/packages/platform/src/newHttpUpstreamOrders.ts
@@ -21,8 +21,11 @@
       return caller.call('GET', `/orders?failureDomain=${failureDomain}`, statusesSchema);
     }
 
-    place(order: UpstreamOrder): Promise<Result<UpstreamStatus[], PlatformFault>> {
-      return caller.call('POST', '/orders', statusesSchema, order);
+    place(
+      order: UpstreamOrder,
+      isStillHeld: () => boolean,
+    ): Promise<Result<UpstreamStatus[], PlatformFault>> {
+      return caller.order('/orders', statusesSchema, order, isStillHeld);
     }
   }
   return new HttpUpstreamOrders();
--- a/packages/platform/src/newHttpUsageReports.ts
+++ b/packages/platform/src/newHttpUsageReports.ts
@@ -14,8 +14,11 @@
   const caller = newHttpCaller(url, REPORT_TIMEOUT_MS);
 
   class HttpUsageReports extends UsageReports {
-    async send(report: UsageReport): Promise<Result<void, PlatformFault>> {
-      const answer = await caller.call('POST', '/reports', z.unknown(), report);
+    async send(
+      report: UsageReport,
+      isStillHeld: () => boolean,
+    ): Promise<Result<void, PlatformFault>> {
+      const answer = await caller.order('/reports', z.unknown(), report, isStillHeld);
       return answer.ok ? Ok(undefined) : answer;
     }
   }
--- a/packages/rollouts/src/newPayloadCopies.ts
+++ b/packages/rollouts/src/newPayloadCopies.ts
@@ -41,7 +41,10 @@
   };
 
   /** Reads a payload from here or from whichever holder still has it. */
-  const read = async (payloadDigest: string, holders: readonly string[]): Promise<string | null> => {
+  const read = async (
+    payloadDigest: string,
+    holders: readonly string[],
+  ): Promise<string | null> => {
     const own = store.read(payloadDigest);
     if (own) return own;
     for (const member of others().filter(({ id }) => holders.includes(id))) {
--- a/packages/rollouts/src/newSampleReader.ts
+++ b/packages/rollouts/src/newSampleReader.ts
@@ -67,8 +67,7 @@
     const waiting = state?.delivery.slice(state.offered) ?? [];
     for (const slot of waiting) {
       const sample = state?.slots[slot]?.sample;
-      const isStale =
-        sample && !isFresh(sample.segments, newest, trainer.stalenessBoundVersions);
+      const isStale = sample && !isFresh(sample.segments, newest, trainer.stalenessBoundVersions);
       if (isStale) await release(trainer.id, step, slot, 'stale');
       else if (sample && !(await copies.read(sample.digest, sample.holders))) {
         await release(trainer.id, step, slot, 'lost');
--- a/packages/rollouts/src/rolloutWeights.ts
+++ b/packages/rollouts/src/rolloutWeights.ts
@@ -2,6 +2,7 @@
 import type { Log } from '@cyclamengate/common/newLogger';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
 import type { Follower } from '@cyclamengate/coordination/newFollower';
+import { isSameHold } from '@cyclamengate/coordination/newLease';
 import type { Lease } from '@cyclamengate/coordination/newLease';
 import type { UpstreamStatus } from '@cyclamengate/platform/upstreamStatus';
 import type { EffectiveSettings } from '@cyclamengate/settings/newEffectiveSettings';
@@ -59,16 +60,15 @@
     );
   };
 
-  const order = async (
-    { upstream }: Seen,
-    trainer: string,
-    version: number,
-  ): Promise<void> => {
+  const order = async ({ upstream }: Seen, trainer: string, version: number): Promise<void> => {
     // Engines that ignore the fencing number take an order from anybody. The lease is looked at in
     // the tick in which the order is written, and outlasts the order's timeout.
     const held = lease.holdFor(WEIGHT_ORDER_TIMEOUT_MS + LEASE_RESERVE_MS);
     if (!held) return;
-    const taken = await engine.orderWeights(upstream.url, { trainer, version, fence: held.fence });
+    const wanted = { trainer, version, fence: held.fence };
+    const taken = await engine.orderWeights(upstream.url, wanted, () =>
+      isSameHold(lease, held, LEASE_RESERVE_MS),
+    );
     metrics.count(taken.ok ? 'weight_orders_taken' : 'weight_orders_failed');
     log.info({
       event: 'weight-order',
@@ -82,8 +82,7 @@
   const bringUp = async (trainer: string, service: string, version: number): Promise<void> => {
     const seen = await look(service);
     const behind = seen.filter(
-      ({ status }) =>
-        status.versions[trainer] !== version && status.loading[trainer] === undefined,
+      ({ status }) => status.versions[trainer] !== version && status.loading[trainer] === undefined,
     );
     const loading = seen.filter(({ status }) => Object.keys(status.loading).length > 0).length;
     const room = Math.max(1, Math.floor(seen.length * LOADING_PART)) - loading;
--- a/packages/routing/src/newAdmission.ts
+++ b/packages/routing/src/newAdmission.ts
@@ -17,6 +17,8 @@
 /** How much of a new observation goes into the average time a request holds its slot. */
 const OBSERVATION_WEIGHT = 0.1;
 const FIRST_GUESS_HOLD_MS = 200;
+/** While no upstream is usable, a request waits for one only so long. */
+const NO_UPSTREAM_WAIT_MS = 5_000;
 
 export interface AdmissionOptions {
   clock: Clock;
@@ -53,7 +55,12 @@
   /** Sets how many requests run here at once, as this host's part of the service's slots. */
   const setSlots = (slots: number): void => {
     const others = otherEntries().map((member) => member.demand[service] ?? 0);
-    queue.concurrency = slots === 0 ? 1 : proportionalPart(slots, demand(), others);
+    if (slots === 0) {
+      queue.pause();
+      return;
+    }
+    queue.concurrency = proportionalPart(slots, demand(), others);
+    queue.start();
   };
 
   /** How long a new request of this customer would wait, from its share of the slots. */
@@ -75,17 +82,25 @@
     if (fair.waitingOf(ticket.customer) >= maxQueued) {
       return notRun('queue-full', 'too many requests of this customer wait', retryAt(waitMs));
     }
-    if (clock.now() + waitMs <= ticket.deadline) return null;
+    if (queue.isPaused || clock.now() + waitMs <= ticket.deadline) return null;
     return notRun('deadline-not-reachable', 'it would start after its deadline', retryAt(waitMs));
   };
 
+  /** Why a ticket that waited until now is given up. */
+  const reasonNow = (ticket: Ticket, signal: AbortSignal): Refusal => {
+    if (signal.aborted) return notRun('caller-gone', 'the caller went away before it started');
+    if (queue.isPaused) return notRun('no-upstream', 'no upstream can take it now', retryAt(0));
+    return notRun('deadline-passed', 'it could not start in time', retryAt(expectedWaitMs(ticket)));
+  };
+
   /** Resolves when the ticket may no longer wait: its deadline, or its caller has gone. */
   const waitGivenUp = async (ticket: Ticket, signal: AbortSignal): Promise<Refusal> => {
-    await clock.sleepUntil(ticket.deadline, signal);
+    const deadline = queue.isPaused
+      ? Math.min(ticket.deadline, clock.now() + NO_UPSTREAM_WAIT_MS)
+      : ticket.deadline;
+    await clock.sleepUntil(deadline, signal);
     ticket.isGivenUp = true;
-    return signal.aborted
-      ? notRun('caller-gone', 'the caller went away before it started')
-      : notRun('deadline-passed', 'it could not start in time', retryAt(expectedWaitMs(ticket)));
+    return reasonNow(ticket, signal);
   };
 
   const hold = async <T>(work: () => Promise<T>): Promise<T> => {
--- a/packages/routing/src/newFairQueueClass.ts
+++ b/packages/routing/src/newFairQueueClass.ts
@@ -156,7 +156,10 @@
     charge,
     /** Requests of a customer that wait. */
     waitingOf: (customer: string): number =>
-      PRIORITIES.reduce((sum, priority) => sum + (queuesOf(priority).get(customer)?.length ?? 0), 0),
+      PRIORITIES.reduce(
+        (sum, priority) => sum + (queuesOf(priority).get(customer)?.length ?? 0),
+        0,
+      ),
     /** Customers that wait for the same class of work. */
     customersWaiting: (priority: Priority): string[] => [...queuesOf(priority).keys()],
   };
--- a/packages/routing/src/newGenerationRelay.ts
+++ b/packages/routing/src/newGenerationRelay.ts
@@ -90,7 +90,11 @@
     }
     if (attempts === 0) return null;
     if (attempts >= MOST_ATTEMPTS || !budget.spend()) {
-      return notRun('retries-used-up', 'upstreams failed and no retry is left', now() + RETRY_AFTER_MS);
+      return notRun(
+        'retries-used-up',
+        'upstreams failed and no retry is left',
+        now() + RETRY_AFTER_MS,
+      );
     }
     return null;
   };
--- a/packages/settings/src/findConflicts.ts
+++ b/packages/settings/src/findConflicts.ts
@@ -38,22 +38,33 @@
     );
   const keys = own.keys
     .filter((key) => !hasCustomer(key.customer))
-    .map((key) => `key ${key.id} at ${path}: found customer ${key.customer}; allowed: one of ${path}`);
+    .map(
+      (key) => `key ${key.id} at ${path}: found customer ${key.customer}; allowed: one of ${path}`,
+    );
   const trainers = own.trainers.flatMap((trainer) => [
     ...(hasCustomer(trainer.customer)
       ? []
-      : [`trainer ${trainer.id} at ${path}: found customer ${trainer.customer}; allowed: one of ${path}`]),
+      : [
+          `trainer ${trainer.id} at ${path}: found customer ${trainer.customer}; allowed: one of ${path}`,
+        ]),
     ...(hasService(trainer.service, false)
       ? []
-      : [`trainer ${trainer.id} at ${path}: found service ${trainer.service}; allowed: a model at or above ${path}`]),
+      : [
+          `trainer ${trainer.id} at ${path}: found service ${trainer.service}; allowed: a model at or above ${path}`,
+        ]),
     ...(!trainer.scoringService || hasService(trainer.scoringService, true)
       ? []
-      : [`trainer ${trainer.id} at ${path}: found scoring service ${trainer.scoringService}; allowed: a scoring service at or above ${path}`]),
+      : [
+          `trainer ${trainer.id} at ${path}: found scoring service ${trainer.scoringService}; allowed: a scoring service at or above ${path}`,
+        ]),
   ]);
   const operators = own.operators.flatMap((operator) =>
     operator.paths
       .filter((granted) => !isWithinPath(granted, path))
-      .map((granted) => `operator ${operator.id} at ${path}: found path ${granted}; allowed: ${path} or below`),
+      .map(
+        (granted) =>
+          `operator ${operator.id} at ${path}: found path ${granted}; allowed: ${path} or below`,
+      ),
   );
   return [...keys, ...trainers, ...operators];
 };
--- a/packages/upstreams/src/ModelEngine.ts
+++ b/packages/upstreams/src/ModelEngine.ts
@@ -19,6 +19,13 @@
 
   abstract readStatus(url: string): Promise<Result<EngineStatus, UpstreamFault>>;
 
-  /** Orders a version of a trainer's weights; the answer is the status after taking the order. */
-  abstract orderWeights(url: string, order: WeightOrder): Promise<Result<EngineStatus, UpstreamFault>>;
+  /**
+   * Orders a version of a trainer's weights; the answer is the status after taking the order.
+   * @param isStillHeld asked again in the moment of writing; without its yes nothing is ordered
+   */
+  abstract orderWeights(
+    url: string,
+    order: WeightOrder,
+    isStillHeld: () => boolean,
+  ): Promise<Result<EngineStatus, UpstreamFault>>;
 }
--- a/packages/upstreams/src/newHttpModelEngine.ts
+++ b/packages/upstreams/src/newHttpModelEngine.ts
@@ -3,6 +3,7 @@
 import { parseJson } from '@cyclamengate/common/readBody';
 import { restore } from '@cyclamengate/common/restore';
 import newHttpCaller from '@cyclamengate/platform/newHttpCaller';
+import type { HttpCaller } from '@cyclamengate/platform/newHttpCaller';
 import type { PlatformFault } from '@cyclamengate/platform/platformFault';
 import { createParser } from 'eventsource-parser';
 import { Agent, request } from 'undici';
@@ -90,16 +91,15 @@
     pipelining: 1,
   });
 
-  const call = async (
+  /** Engines answer status and orders alike, with their status. */
+  const ask = async (
     url: string,
-    method: 'GET' | 'POST',
-    path: string,
-    body?: unknown,
+    call: (caller: HttpCaller) => Promise<Result<EngineStatus, PlatformFault>>,
   ): Promise<Result<EngineStatus, UpstreamFault>> => {
     // A caller of its own for each order: its timeout takes the connection down with it, and no
     // order waits in the send buffer of a connection that others still use.
     const caller = newHttpCaller(url, WEIGHT_ORDER_TIMEOUT_MS);
-    const answer = await caller.call(method, path, engineStatusSchema, body);
+    const answer = await call(caller);
     await caller.close();
     return answer.ok ? answer : Err(faultOfCall(answer.val));
   };
@@ -130,11 +130,17 @@
     }
 
     readStatus(url: string): Promise<Result<EngineStatus, UpstreamFault>> {
-      return call(url, 'GET', '/v1/status');
+      return ask(url, (caller) => caller.call('GET', '/v1/status', engineStatusSchema));
     }
 
-    orderWeights(url: string, order: WeightOrder): Promise<Result<EngineStatus, UpstreamFault>> {
-      return call(url, 'POST', '/v1/weights', order);
+    orderWeights(
+      url: string,
+      order: WeightOrder,
+      isStillHeld: () => boolean,
+    ): Promise<Result<EngineStatus, UpstreamFault>> {
+      return ask(url, (caller) =>
+        caller.order('/v1/weights', engineStatusSchema, order, isStillHeld),
+      );
     }
   }
   return new HttpModelEngine();
--- a/packages/upstreams/src/upstreamFault.ts
+++ b/packages/upstreams/src/upstreamFault.ts
@@ -8,12 +8,7 @@
  * - `cancelled`: this side gave it up
  */
 export type UpstreamFault =
-  | 'not-sent'
-  | 'refused'
-  | 'broken'
-  | 'silent'
-  | 'malformed'
-  | 'cancelled';
+  'not-sent' | 'refused' | 'broken' | 'silent' | 'malformed' | 'cancelled';
 
 /** Whether it is known that the upstream ran nothing. */
 export const isNotRun = (fault: UpstreamFault): boolean =>
--- a/packages/usage/src/newMeter.ts
+++ b/packages/usage/src/newMeter.ts
@@ -27,6 +27,7 @@
   const { clock, follower, writer, host, windowMs, copy } = options;
   let open: WindowFigures = {};
   let sequence = 0;
+  let isWriting = false;
   const sealed = new Map<number, UsageDelta>();
 
   follower.onFolded(({ record }) => {
@@ -57,18 +58,24 @@
     await Promise.all(writes);
   };
 
+  const writeUnlessWriting = (): void => {
+    if (isWriting || sealed.size === 0) return;
+    isWriting = true;
+    const finish = (): void => {
+      isWriting = false;
+    };
+    writeSealed(clock.now() + WRITE_TIMEOUT_MS).then(finish, finish);
+  };
+
   const run = async (signal: AbortSignal): Promise<void> => {
     let writeAt = clock.now() + WRITE_EVERY_MS;
-    let writing: Promise<void> | null = null;
     while (!signal.aborted) {
       const nextSeal = clock.now() + SEAL_EVERY_MS;
       seal();
       await copy([...sealed.values()]);
-      if (!writing && clock.now() >= writeAt && sealed.size > 0) {
+      if (clock.now() >= writeAt) {
         writeAt = clock.now() + WRITE_EVERY_MS;
-        writing = writeSealed(clock.now() + WRITE_TIMEOUT_MS).finally(() => {
-          writing = null;
-        });
+        writeUnlessWriting();
       }
       await clock.sleepUntil(nextSeal, signal);
     }
--- a/scripts/demo.js
+++ b/scripts/demo.js
@@ -5,6 +5,7 @@
  * node scripts/demo.js [--deployment association] [--entries 3] [--windows 1]
  */
 import { parseArgs } from 'node:util';
+import { fetch } from 'undici';
 import { newProcesses, sleep, waitUntil } from './processes.js';
 
 const { values } = parseArgs({
@@ -63,6 +64,8 @@
   };
   const answer = await post(`${entry.url}/v1/completions`, customer, body);
   const text = await answer.text();
+  if (process.env.DEMO_VERBOSE && !text.endsWith('[DONE]\n\n'))
+    say(`${answer.status} ${text.slice(-300)}`);
   return answer.ok && text.endsWith('data: [DONE]\n\n');
 };
 
@@ -75,7 +78,9 @@
     ),
   );
   const whole = results.filter(Boolean).length;
-  say(`callers: ${whole} of ${results.length} streamed answers whole, ${deployment.customers.length} customers`);
+  say(
+    `callers: ${whole} of ${results.length} streamed answers whole, ${deployment.customers.length} customers`,
+  );
 };
 
 const callServices = async (entries) => {
@@ -88,9 +93,16 @@
   const once = `/v1/services/${deployment.once}/run`;
   const headers = { 'idempotency-key': 'demo-1' };
   const answers = await Promise.all(
-    [first, second ?? first].map((entry) => post(`${entry.url}${once}`, customer, { n: 1 }, headers)),
+    [first, second ?? first].map((entry) =>
+      post(`${entry.url}${once}`, customer, { n: 1 }, headers),
+    ),
+  );
+  say(
+    `${deployment.once}, the same idempotency key at two entries at once: ${answers
+      .map(({ status }) => status)
+      .sort()
+      .join(' and ')}`,
   );
-  say(`${deployment.once}, the same idempotency key at two entries at once: ${answers.map(({ status }) => status).sort().join(' and ')}`);
 };
 
 const train = async (rollouts) => {
@@ -122,7 +134,10 @@
     const seeds = entries.slice(0, 2).map(({ peerUrl }) => peerUrl);
     const domain = domains[index % domains.length];
     entries.push(
-      await processes.startDaemon('entry', `entry-${index + 1}`, domain, platform.url, { ...more, seeds }),
+      await processes.startDaemon('entry', `entry-${index + 1}`, domain, platform.url, {
+        ...more,
+        seeds,
+      }),
     );
   }
   const seeds = entries.slice(0, 2).map(({ peerUrl }) => peerUrl);
@@ -137,10 +152,15 @@
       }),
     );
     controls.push(
-      await processes.startDaemon('control', `control-${index + 1}`, domains[index], platform.url, { ...more, seeds }),
+      await processes.startDaemon('control', `control-${index + 1}`, domains[index], platform.url, {
+        ...more,
+        seeds,
+      }),
     );
   }
-  say(`started: ${entries.length} entries, ${rollouts.length} rollout, ${controls.length} control, 1 platform stand-in`);
+  say(
+    `started: ${entries.length} entries, ${rollouts.length} rollout, ${controls.length} control, 1 platform stand-in`,
+  );
 
   const published = await processes.run('cli', [
     'publish',
@@ -168,7 +188,9 @@
   });
   const hosts = await (await fetch(`${platform.url}/hosts`)).json();
   say(`upstreams running: ${hosts.upstreams.length}`);
-  say(`usage reports: ${reports.length}; the first names ${Object.keys(reports[0].figures).length} customers`);
+  say(
+    `usage reports: ${reports.length}; the first names ${Object.keys(reports[0].figures).length} customers`,
+  );
   const audit = await processes.run('cli', ['audit', '--log', platform.url, '--last', '6']);
   say(`audit, the last lines:\n${audit.text}`);
   await sleep(100);
--- a/scripts/processes.js
+++ b/scripts/processes.js
@@ -5,6 +5,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { fetch } from 'undici';
 
 const ROOT = fileURLToPath(new URL('..', import.meta.url));
 const READY_TIMEOUT_MS = 30_000;
