--- a/apps/standin/src/newEngineStandin.ts
+++ b/apps/standin/src/newEngineStandin.ts
@@ -7,10 +7,12 @@
 import { z } from 'zod';
 import type { EngineOptions } from './engineOptions.js';
 import { faulty, readJson } from './faulty.js';
-import type { FaultSwitches } from './faultSwitches.js';
+import type { Fault, FaultSwitch, FaultSwitches } from './faultSwitches.js';
 
 /** A prompt with this text crashes the engine that runs it. */
 export const CRASH_MARKER = 'CRASH-THE-ENGINE';
+/** Target of faults that the first upstream to come by takes. */
+export const ANY_UPSTREAM = 'any-upstream';
 const PREFIX_CHARACTERS = 64;
 const PREFIXES_CACHED = 64;
 const PORTAL_DELAY_MS = 5;
@@ -43,8 +45,13 @@
   const versions: Record<string, number> = {};
   const loading: Record<string, number> = {};
   const cached = new Set<string>();
+  const orders: z.infer<typeof weightsSchema>[] = [];
   const served: { requestId: string; customer: string; headers: unknown; path: string }[] = [];
 
+  /** A fault is switched on for this upstream or, whoever comes first, for any. */
+  const useFault = (fault: Fault): FaultSwitch | null =>
+    faults.use(id, fault) ?? faults.use(ANY_UPSTREAM, fault);
+
   const app = polka();
   const server = createServer((request, response) => app.handler(request as never, response));
 
@@ -81,8 +88,8 @@
   ): Promise<void> => {
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     const write = (event: unknown): boolean => response.write(`data: ${JSON.stringify(event)}\n\n`);
-    const answerId = faults.use(id, 'cross-answers') ? 'another-request' : requestId;
-    const cut = faults.use(id, 'cut-answers');
+    const answerId = useFault('cross-answers') ? 'another-request' : requestId;
+    const cut = useFault('cut-answers');
     await prefill(prompt);
     let index = prefix.length;
     while (index < maxTokens && !response.destroyed) {
@@ -94,7 +101,7 @@
         crash();
         return;
       }
-      if (faults.use(id, 'silent')) return;
+      if (useFault('silent')) return;
       write({
         requestId: answerId,
         index,
@@ -127,14 +134,15 @@
     loading[trainer] = version;
     await sleep(options.loadMs);
     delete loading[trainer];
-    if (faults.use(id, 'fail-swap')) delete versions[trainer];
+    if (useFault('fail-swap')) delete versions[trainer];
     else versions[trainer] = version;
   };
 
   const order = async (request: HandlerRequest, response: ServerResponse) => {
     const wanted = await readJson(request, response, weightsSchema);
     if (!wanted) return null;
-    const isOld = wanted.fence < fence && !faults.use(id, 'ignore-fence');
+    const isOld = wanted.fence < fence && !useFault('ignore-fence');
+    orders.push(wanted);
     if (isOld) return { status: 409, body: { error: `fence ${fence} is newer` } };
     fence = Math.max(fence, wanted.fence);
     if (!options.takeWeights()) return { status: 429, body: { error: 'the weight store is busy' } };
@@ -192,6 +200,8 @@
     url: `http://127.0.0.1:${port}`,
     status,
     served: () => served,
+    /** Every weight order received, refused ones too. */
+    orders: () => orders,
     leave: (): void => {
       isLeaving = true;
     },
--- a/apps/standin/src/newFleetStandin.ts
+++ b/apps/standin/src/newFleetStandin.ts
@@ -34,7 +34,8 @@
 const newFleetStandin = ({ faults, engine, startMs, listLagMs }: FleetOptions) => {
   const running = new Map<string, Running>();
   const fences = new Map<string, number>();
-  const placed: UpstreamOrder[] = [];
+  /** Every order received, refused ones too. */
+  const received: UpstreamOrder[] = [];
   let started = 0;
   let loads = 0;
   let listed: UpstreamStatus[] = [];
@@ -100,10 +101,10 @@
   };
 
   const place = async (order: UpstreamOrder): Promise<boolean> => {
+    received.push(order);
     const fence = fences.get(order.failureDomain) ?? -1;
     if (order.fence < fence && !faults.use('orders', 'ignore-fence')) return false;
     fences.set(order.failureDomain, Math.max(fence, order.fence));
-    placed.push(order);
     const own = [...running.values()].filter(
       ({ status }) =>
         status.service === order.service &&
@@ -172,7 +173,7 @@
     );
   };
 
-  return { mount, statuses, placed: () => placed, running };
+  return { mount, statuses, received: () => received, started: () => started, running };
 };
 
 export type FleetStandin = ReturnType<typeof newFleetStandin>;
--- a/packages/routing/src/newAdmission.ts
+++ b/packages/routing/src/newAdmission.ts
@@ -50,7 +50,7 @@
   });
   let holdMs = FIRST_GUESS_HOLD_MS;
 
-  const demand = (): number => queue.size + queue.pending;
+  const demand = (): number => fair.waiting() + queue.pending;
 
   /** Sets how many requests run here at once, as this host's part of the service's slots. */
   const setSlots = (slots: number): void => {
@@ -65,7 +65,7 @@
 
   /** How long a new request of this customer would wait, from its share of the slots. */
   const expectedWaitMs = ({ customer, priority }: Ticket): number => {
-    if (queue.pending < queue.concurrency && queue.size === 0) return 0;
+    if (queue.pending < queue.concurrency && fair.waiting() === 0) return 0;
     const competing = new Set([...fair.customersWaiting(priority), customer]);
     const shareOf = (name: string): number => readSettings().customers.get(name)?.share ?? 1;
     const all = [...competing].reduce((sum, name) => sum + shareOf(name), 0);
@@ -148,7 +148,7 @@
     demand,
     /** Corrects the estimate once the true cost is known, in tokens. */
     correct: (ticket: Ticket, tokens: number): void => fair.charge(ticket, tokens - ticket.cost),
-    waiting: (): number => queue.size,
+    waiting: fair.waiting,
   };
 };
 
--- a/packages/routing/src/newFairQueueClass.ts
+++ b/packages/routing/src/newFairQueueClass.ts
@@ -59,7 +59,7 @@
   );
   const classCounters = newCounters();
   const customerCounters = newCounters();
-  let size = 0;
+  let total = 0;
 
   const queuesOf = (priority: Priority): Map<string, Waiting[]> =>
     queues.get(priority) as Map<string, Waiting[]>;
@@ -79,12 +79,18 @@
     const customers = queuesOf(priority);
     customers.forEach((waiting, customer) => {
       const live = waiting.filter(({ ticket }) => !ticket.isGivenUp);
-      size -= waiting.length - live.length;
+      total -= waiting.length - live.length;
       if (live.length === 0) customers.delete(customer);
       else customers.set(customer, live);
     });
   };
 
+  const countEligible = (priority: Priority): number =>
+    [...queuesOf(priority)].reduce(
+      (sum, [customer, waiting]) => sum + (hasAllowance(customer) ? waiting.length : 0),
+      0,
+    );
+
   const takeFrom = (priority: Priority): Waiting | undefined => {
     const customers = queuesOf(priority);
     const [next] = [...customers.keys()]
@@ -124,14 +130,14 @@
         );
       }
       customers.set(ticket.customer, [...(customers.get(ticket.customer) ?? []), { ticket, run }]);
-      size += 1;
+      total += 1;
     }
 
     dequeue(): Run | undefined {
       PRIORITIES.forEach(dropGivenUp);
       const taken = take();
       if (!taken) return undefined;
-      size -= 1;
+      total -= 1;
       charge(taken.ticket, taken.ticket.cost);
       return taken.run;
     }
@@ -146,14 +152,21 @@
       throw new Error('invariant broken: a ticket keeps its class');
     }
 
+    /**
+     * Counts only what may start now: p-queue takes one out whenever this is not zero. What waits
+     * for its customer's limit is looked at again when a request ends or the queue is started.
+     */
     get size(): number {
-      return size;
+      PRIORITIES.forEach(dropGivenUp);
+      return PRIORITIES.reduce((sum, priority) => sum + countEligible(priority), 0);
     }
   }
 
   return {
     FairQueue,
     charge,
+    /** Requests that wait, also those over their customer's limit. */
+    waiting: (): number => total,
     /** Requests of a customer that wait. */
     waitingOf: (customer: string): number =>
       PRIORITIES.reduce(
--- a/scripts/demo.js
+++ b/scripts/demo.js
@@ -6,7 +6,7 @@
  */
 import { parseArgs } from 'node:util';
 import { fetch } from 'undici';
-import { newProcesses, sleep, waitUntil } from './processes.js';
+import newProcesses, { sleep, waitUntil } from '@cyclamengate/fakes/newProcesses';
 
 const { values } = parseArgs({
   options: {
@@ -106,7 +106,7 @@
 };
 
 const train = async (rollouts) => {
-  const { default: newTrainer } = await import('../apps/standin/dist/src/newTrainerStandin.js');
+  const { default: newTrainer } = await import('@cyclamengate/app-standin/newTrainerStandin');
   const trainer = newTrainer({
     rollouts: rollouts.map(({ url }) => url),
     trainer: deployment.trainer,
