--- a/apps/cli/src/newLogSession.ts
+++ b/apps/cli/src/newLogSession.ts
@@ -40,7 +40,7 @@
     while (failures < MOST_READ_FAILURES) {
       const page = await log.read(follower.next());
       if (page.ok) {
-        follower.ingest({ ...page.val, ageMs: 0 });
+        follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
         const isAtEnd = follower.next() >= page.val.end;
         if (isAtEnd && follower.isBridging())
           return Err('the log holds no checkpoint to start from');
@@ -56,7 +56,7 @@
   const followOn = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       const page = await log.read(follower.next(), signal);
-      if (page.ok) follower.ingest({ ...page.val, ageMs: 0 });
+      if (page.ok) follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
       else await clock.sleepUntil(clock.now() + RETRY_MS, signal);
     }
   };
--- a/apps/entry/tests/entry.process.test.ts
+++ b/apps/entry/tests/entry.process.test.ts
@@ -3,7 +3,8 @@
 import { request } from 'undici';
 import { waitUntil } from '@cyclamengate/fakes/newProcesses';
 import test from 'ava';
-import newSystem, { isWhole, keyOf, post } from './newSystem.js';
+import { isWhole, keyOf, post } from '@cyclamengate/fakes/callers';
+import newSystem from '@cyclamengate/fakes/newSystem';
 
 const raw = (url: string, text: string): Promise<string> =>
   new Promise((resolve, reject) => {
--- a/packages/coordination/src/RecordSource.ts
+++ b/packages/coordination/src/RecordSource.ts
@@ -10,6 +10,8 @@
   records: LogRecord[];
   /** The oldest offset the source still has. */
   first: number;
+  /** The oldest offset the log itself keeps, as far as the source knows. */
+  logFirst: number;
   /** Milliseconds since the source's records were known to be the log's newest. */
   ageMs: number;
 }
--- a/packages/coordination/src/newFollower.ts
+++ b/packages/coordination/src/newFollower.ts
@@ -23,6 +23,7 @@
   let aside: LogRecord[] = [];
   let currentAt = -Infinity;
   let skipped = 0;
+  let logFirst = 0;
 
   const nextOffset = (): number => (aside.at(-1)?.offset ?? fold.state().offset) + 1;
 
@@ -81,7 +82,8 @@
     applyAside();
   };
 
-  const ingest = ({ records, ageMs }: SourcePage): void => {
+  const ingest = ({ records, logFirst: keptFrom, ageMs }: SourcePage): void => {
+    logFirst = Math.max(logFirst, keptFrom);
     currentAt = Math.max(currentAt, clock.now() - ageMs);
     const fresh = records.filter(({ offset }) => offset > fold.state().offset);
     const [next] = fresh;
@@ -123,6 +125,8 @@
     isBridging: (): boolean => aside.length > 0,
     /** When, on the monotonic clock, this state was last known to be the log's newest. */
     currentAt: (): number => currentAt,
+    /** The oldest offset that the log keeps, as far as this host knows. */
+    logFirst: (): number => logFirst,
     /** Records of a newer or foreign format that were passed over. */
     skipped: (): number => skipped,
     onFolded: (listener: FoldedListener): void => {
--- a/packages/coordination/src/newLogSource.ts
+++ b/packages/coordination/src/newLogSource.ts
@@ -16,7 +16,8 @@
     async read(from: number, signal: AbortSignal): Promise<Result<SourcePage, SourceFault>> {
       const page = await log.read(from, signal);
       if (!page.ok) return Err('unreachable' as const);
-      return Ok({ records: page.val.records, first: page.val.first, ageMs: 0 });
+      const { records, first } = page.val;
+      return Ok({ records, first, logFirst: first, ageMs: 0 });
     }
 
     async snapshot(): Promise<SystemState | null> {
--- a/packages/coordination/src/newRuntime.ts
+++ b/packages/coordination/src/newRuntime.ts
@@ -142,6 +142,7 @@
       return {
         records: follower.ring.from(from),
         first: follower.ring.first(follower.state().offset + 1),
+        logFirst: follower.logFirst(),
         ageMs: Math.min(Number.MAX_SAFE_INTEGER, clock.now() - follower.currentAt()),
       };
     },
--- a/packages/coordination/src/peerRouter.ts
+++ b/packages/coordination/src/peerRouter.ts
@@ -15,6 +15,7 @@
 export const sourcePageSchema = z.object({
   records: z.array(logRecordSchema),
   first: z.int(),
+  logFirst: z.int(),
   ageMs: z.number(),
 });
 
--- a/packages/coordination/src/writeCheckpoints.ts
+++ b/packages/coordination/src/writeCheckpoints.ts
@@ -3,10 +3,12 @@
 import type { Lease } from './newLease.js';
 import type { LogWriter } from './newLogWriter.js';
 
-const CHECK_EVERY_MS = 2_000;
+const CHECK_EVERY_MS = 1_000;
 const WRITE_TIMEOUT_MS = 5_000;
-/** A checkpoint is due after so many records … */
+/** A checkpoint is due after so many records, … */
 export const RECORDS_BETWEEN_CHECKPOINTS = 2_000;
+/** … when it has moved through so much of what the log keeps, … */
+const RETENTION_PART = 0.4;
 /** … or after this time, also when nobody changes anything: retention goes by time as well. */
 export const CHECKPOINT_EVERY_MS = 60_000;
 
@@ -23,9 +25,11 @@
   signal: AbortSignal,
 ): Promise<void> => {
   let covered = -1;
+  let writtenAt = -1;
   let dueAt = clock.now();
-  follower.onFolded(({ record }) => {
+  follower.onFolded(({ record, offset }) => {
     if (record.type !== 'checkpoint') return;
+    writtenAt = offset;
     covered = Math.max(covered, record.covers);
     dueAt = clock.now() + CHECKPOINT_EVERY_MS;
   });
@@ -33,7 +37,9 @@
   const isDue = (): boolean => {
     const { offset } = follower.state();
     if (offset < 0) return false;
-    return offset - covered >= RECORDS_BETWEEN_CHECKPOINTS || clock.now() >= dueAt;
+    const first = follower.logFirst();
+    const isNearEnd = first > 0 && writtenAt < first + (offset - first) * (1 - RETENTION_PART);
+    return isNearEnd || offset - covered >= RECORDS_BETWEEN_CHECKPOINTS || clock.now() >= dueAt;
   };
 
   while (!signal.aborted) {
--- a/packages/coordination/tests/newFold.model.test.ts
+++ b/packages/coordination/tests/newFold.model.test.ts
@@ -122,8 +122,8 @@
       const late = newFollower(newManualClock());
       const kept = records.slice(forgotten);
       const half = Math.ceil(kept.length / 2);
-      late.ingest({ records: kept.slice(0, half), first: forgotten, ageMs: 0 });
-      late.ingest({ records: kept, first: forgotten, ageMs: 0 });
+      late.ingest({ records: kept.slice(0, half), first: forgotten, logFirst: 0, ageMs: 0 });
+      late.ingest({ records: kept, first: forgotten, logFirst: 0, ageMs: 0 });
       t.deepEqual(late.state(), foldAll(records).state);
     }),
     { numRuns: RUNS },
--- a/packages/coordination/tests/newLease.test.ts
+++ b/packages/coordination/tests/newLease.test.ts
@@ -35,7 +35,7 @@
   const read = async (): Promise<void> => {
     for (;;) {
       const page = await log.read(follower.next());
-      if (page.ok) follower.ingest({ ...page.val, ageMs: 0 });
+      if (page.ok) follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
       await clock.sleepUntil(clock.now() + READ_EVERY_MS);
     }
   };
--- a/packages/fakes/src/newProcesses.ts
+++ b/packages/fakes/src/newProcesses.ts
@@ -8,7 +8,8 @@
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
 
-const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+/** The project's folder. */
+export const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
 const READY_TIMEOUT_MS = 60_000;
 const POLL_MS = 50;
 
--- a/apps/entry/tests/newSystem.ts
+++ b/packages/fakes/src/newSystem.ts
@@ -1,43 +1,17 @@
-import newProcesses, { waitUntil } from '@cyclamengate/fakes/newProcesses';
-import type { DaemonOptions, StartedDaemon } from '@cyclamengate/fakes/newProcesses';
+import { readFile, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import newPlatformStandin from '@cyclamengate/app-standin/newPlatformStandin';
 import type { PlatformStandinOptions } from '@cyclamengate/app-standin/newPlatformStandin';
-import { writeFile } from 'node:fs/promises';
-import { join } from 'node:path';
+import digest from '@cyclamengate/common/digest';
 import { request } from 'undici';
+import { isWhole, keyOf, post } from './callers.js';
+import newForwarder from './newForwarder.js';
+import type { Forwarder } from './newForwarder.js';
+import newProcesses, { ROOT, waitUntil } from './newProcesses.js';
+import type { DaemonOptions, StartedDaemon } from './newProcesses.js';
 
 const DOMAINS = ['nafplio-a', 'nafplio-b', 'argos-c'];
-export const EXAMPLE = 'examples/papadakis.yaml';
-
-/** A caller's answer, read to its end. */
-export interface CallerAnswer {
-  status: number;
-  headers: Record<string, string | string[] | undefined>;
-  text: string;
-}
-
-export const keyOf = (customer: string): string => `cgk_demo-${customer}`;
-
-export const post = async (
-  url: string,
-  customer: string,
-  body: unknown,
-  headers: Record<string, string> = {},
-): Promise<CallerAnswer> => {
-  const answer = await request(url, {
-    method: 'POST',
-    headers: {
-      authorization: `Bearer ${keyOf(customer)}`,
-      'content-type': 'application/json',
-      ...headers,
-    },
-    body: JSON.stringify(body),
-  });
-  const text = await answer.body.text();
-  return { status: answer.statusCode, headers: answer.headers, text };
-};
-
-export const isWhole = ({ text }: CallerAnswer): boolean => text.endsWith('data: [DONE]\n\n');
+const EXAMPLE = join(ROOT, 'examples/papadakis.yaml');
 
 /** The example deployment as real processes, before a platform stand-in in the test's process. */
 const newSystem = async (
@@ -47,6 +21,7 @@
 ) => {
   const processes = await newProcesses();
   const platform = await newPlatformStandin({ port: 0, ...standinOptions });
+  const forwarders: Forwarder[] = [];
   const daemons: Awaited<ReturnType<typeof processes.startDaemon>>[] = [];
 
   const startOne = async (app: string, id: string, domain: number, options: DaemonOptions = {}) => {
@@ -72,6 +47,46 @@
   const control = await startOne('control', 'control-1', 0);
   const first = daemons[0]!;
 
+  /** Starts a daemon that reaches the platform through a forwarder, which can be cut. */
+  const startBehindForwarder = async (
+    app: string,
+    id: string,
+    domain: number,
+    options: DaemonOptions = {},
+  ) => {
+    const forwarder = await newForwarder(platform.url);
+    forwarders.push(forwarder);
+    const services = ['log', 'orders', 'reports', 'hosts', 'weights'];
+    const through = Object.fromEntries(services.map((service) => [service, forwarder.url]));
+    const daemon = await startOne(app, id, domain, { ...options, platform: through });
+    return { forwarder, daemon };
+  };
+
+  const readExample = (): Promise<string> => readFile(EXAMPLE, 'utf8');
+
+  /** The example settings with one text replaced everywhere. */
+  const exampleWith = async (text: string, by: string): Promise<string> => {
+    const example = await readExample();
+    if (!example.includes(text)) throw new Error(`the example has no ${text}`);
+    return example.replaceAll(text, by);
+  };
+
+  /** The example settings with a customer's key withdrawn. */
+  const exampleWithoutKey = async (customer: string): Promise<string> => {
+    const line = `digest: ${digest(keyOf(customer))}`;
+    return (await readExample()).replace(line, `${line}\n        withdrawn: true`);
+  };
+
+  /** Appends records of somebody else's, so that the log's retention moves on. */
+  const appendForeign = async (count: number): Promise<void> => {
+    const bodies = Array.from({ length: count }, () => '{"foreign":true}');
+    const answer = await request(`${platform.url}/log/append`, {
+      method: 'POST',
+      body: JSON.stringify({ bodies }),
+    });
+    await answer.body.dump();
+  };
+
   const publish = async (yaml: string, operator = 'platform-admin', wait = 30) => {
     const path = join(processes.folder, `publication-${Math.random()}.yaml`);
     await writeFile(path, yaml);
@@ -132,6 +147,7 @@
   const stop = async (): Promise<void> => {
     daemons.forEach(({ child }) => child.kill('SIGCONT'));
     await processes.stopAll('SIGKILL');
+    forwarders.forEach((forwarder) => forwarder.close());
     platform.close();
   };
 
@@ -142,6 +158,10 @@
     entries: daemons.filter(({ id }) => id.startsWith('entry')),
     control,
     startOne,
+    startBehindForwarder,
+    exampleWith,
+    exampleWithoutKey,
+    appendForeign,
     begin,
     complete,
     publish,
--- a/packages/rollouts/tests/rollouts.test.ts
+++ b/packages/rollouts/tests/rollouts.test.ts
@@ -119,7 +119,7 @@
     const read = async (): Promise<void> => {
       while (!stop.signal.aborted) {
         const page = await log.read(follower.next());
-        if (page.ok) follower.ingest({ ...page.val, ageMs: 0 });
+        if (page.ok) follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
         await clock.sleepUntil(clock.now() + 20, stop.signal);
       }
     };
--- a/packages/routing/tests/newCallClaims.test.ts
+++ b/packages/routing/tests/newCallClaims.test.ts
@@ -21,7 +21,7 @@
   const read = async (): Promise<void> => {
     for (;;) {
       const page = await log.read(follower.next());
-      if (page.ok) follower.ingest({ ...page.val, ageMs: 0 });
+      if (page.ok) follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
       await clock.sleepUntil(clock.now() + 20);
     }
   };
--- a/packages/usage/src/reportUsage.ts
+++ b/packages/usage/src/reportUsage.ts
@@ -37,11 +37,26 @@
 const reportUsage = async (options: ReportOptions, signal: AbortSignal): Promise<void> => {
   const { clock, log, follower, writer, lease, reports, windowMs } = options;
 
+  /** The newest window whose end and grace have passed. */
+  const lastEnded = (): number =>
+    (Math.floor((clock.wallTime() - CLOSE_GRACE_MS) / windowMs) - 1) * windowMs;
+
+  /**
+   * The oldest window with usage. Usage that came too late for its own window goes with the next one;
+   * when the customer never calls again there would be none, so a window without usage carries it.
+   */
+  const findDue = (): number | undefined => {
+    const { open, late } = follower.state().usage;
+    const [oldest] = ascending(Object.keys(open));
+    if (oldest !== undefined) return oldest;
+    return Object.keys(late).length > 0 ? lastEnded() : undefined;
+  };
+
   const closeDue = async (): Promise<void> => {
     const held = lease.holdFor(0);
-    const [oldest] = ascending(Object.keys(follower.state().usage.open));
-    if (!held || oldest === undefined) return;
-    if (clock.wallTime() < oldest + windowMs + CLOSE_GRACE_MS) return;
+    const oldest = findDue();
+    if (!held || oldest === undefined || oldest <= follower.state().usage.closedThrough) return;
+    if (oldest > lastEnded()) return;
     await writer.write(
       { type: 'usage-close', window: oldest, fence: held.fence },
       clock.now() + WRITE_TIMEOUT_MS,
--- a/packages/usage/tests/usage.test.ts
+++ b/packages/usage/tests/usage.test.ts
@@ -54,7 +54,7 @@
   const read = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       const page = await log.read(follower.next());
-      if (page.ok) follower.ingest({ ...page.val, ageMs: 0 });
+      if (page.ok) follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
       await clock.sleepUntil(clock.now() + 50, stop.signal);
     }
   };
@@ -236,3 +236,22 @@
   t.true(isAlwaysTheSame(reports));
   t.is(billedOf(reports), 43);
 });
+
+// As above, but nobody calls any more: no further window would ever be closed to carry it.
+test('late usage is billed also when no other usage follows', async (t) => {
+  const log = newMemoryLog();
+  const clock = newManualClock();
+  const reports = new FakeReports();
+  newReporter(log, clock, reports, 'first');
+  const near = newEntry(log, clock, 'near');
+  const cut = newEntry(log, clock, 'cut');
+  log.fate = (bodies) =>
+    bodies.some((body) => body.includes('"writer":"cut"')) ? 'refused' : 'lands';
+  cut.meter.add('players', used(40));
+  near.meter.add('players', used(2));
+  await clock.advance(25_000);
+  log.fate = () => 'lands';
+  await clock.advance(40_000);
+  t.true(isAlwaysTheSame(reports));
+  t.is(billedOf(reports), 42);
+});
