--- a/apps/cli/src/main.ts
+++ b/apps/cli/src/main.ts
@@ -84,6 +84,24 @@
       finish(await audit({ log, action, last }), json);
     },
   )
+  .command(
+    'bench <file>',
+    'send the load of a plan to entries and show latencies by customer',
+    (command) =>
+      command
+        .positional('file', { type: 'string', demandOption: true })
+        .option('target', {
+          type: 'string',
+          array: true,
+          demandOption: true,
+          describe: 'addresses of entries; loopback alone',
+        })
+        .option('plot', { type: 'string', describe: 'write a plot to this SVG file' }),
+    async ({ file, target, plot, json }) => {
+      const { default: bench } = await import('./bench.js');
+      finish(await bench({ file, targets: target, plot }), json);
+    },
+  )
   .command(
     'key',
     "make a caller's key and its digest",
--- a/apps/entry/src/newAdmissions.ts
+++ b/apps/entry/src/newAdmissions.ts
@@ -1,5 +1,4 @@
-import type Clock from '@cyclamengate/common/Clock';
-import type { Runtime } from '@cyclamengate/coordination/newRuntime';
+import type { Daemon } from '@cyclamengate/coordination/newDaemon';
 import newAdmission from '@cyclamengate/routing/newAdmission';
 import type { Admission } from '@cyclamengate/routing/newAdmission';
 import type { UpstreamDirectory } from '@cyclamengate/upstreams/newUpstreamDirectory';
@@ -9,8 +8,7 @@
 
 /** One admission for each service, kept in step with upstreams and the other entries. */
 const newAdmissions = (
-  clock: Clock,
-  runtime: Runtime,
+  { clock, runtime, settings }: Daemon,
   directory: UpstreamDirectory,
   openRequests: OpenRequests,
 ) => {
@@ -31,6 +29,7 @@
     const created = newAdmission({
       clock,
       service,
+      policy: settings.policy.queue,
       readSettings: runtime.effective,
       otherEntries,
       inFlightOf: openRequests.runningOf,
--- a/apps/entry/src/newEntry.ts
+++ b/apps/entry/src/newEntry.ts
@@ -4,8 +4,8 @@
 import type { UsageDelta } from '@cyclamengate/coordination/usageRecords';
 import type { Running } from '@cyclamengate/common/startProgram';
 import newHttpHostList from '@cyclamengate/platform/newHttpHostList';
-import newAffinityChoice from '@cyclamengate/routing/newAffinityChoice';
 import newCallClaims from '@cyclamengate/routing/newCallClaims';
+import newChoice from '@cyclamengate/routing/newChoice';
 import newGenerationRelay from '@cyclamengate/routing/newGenerationRelay';
 import newRetryBudget from '@cyclamengate/routing/newRetryBudget';
 import newServiceRelay from '@cyclamengate/routing/newServiceRelay';
@@ -52,9 +52,9 @@
   const directory = newUpstreamDirectory(clock, runtime.effective);
   const openRequests = newOpenRequests();
   const gate = newGate(clock, runtime);
-  const admissions = newAdmissions(clock, runtime, directory, openRequests);
+  const admissions = newAdmissions(daemon, directory, openRequests);
   const budget = newRetryBudget();
-  const choice = newAffinityChoice(settings.failureDomain, Math.random);
+  const choice = newChoice(settings.policy.choice, settings.failureDomain, Math.random);
   const now = (): number => clock.now();
   const meter = newMeter({
     clock,
--- a/apps/rollout/tests/rollout.process.test.ts
+++ b/apps/rollout/tests/rollout.process.test.ts
@@ -4,6 +4,7 @@
 import newSystem from '@cyclamengate/fakes/newSystem';
 import { waitUntil } from '@cyclamengate/fakes/newProcesses';
 import test from 'ava';
+import { request } from 'undici';
 
 type System = Awaited<ReturnType<typeof newSystem>>;
 
@@ -189,11 +190,11 @@
   await trainer.publishWeights(1);
   const step = trainer.runStep(1, PROMPTS, GROUP_SIZE, 150);
   await sleep(1_000);
-  const answer = await fetch(`${system.platform.url}/reclaim`, {
+  const answer = await request(`${system.platform.url}/reclaim`, {
     method: 'POST',
     body: JSON.stringify({ failureDomain: 'nafplio-a' }),
   });
-  t.true(answer.ok);
+  t.is(answer.statusCode, 200);
   const { samples } = await step;
   t.true(isWholeStep(samples));
 });
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,6 +34,11 @@
     // A program's frame is where a process ends.
     rules: { 'n/no-process-exit': 'off' },
   },
+  {
+    files: ['packages/routing/src/new*QueuePolicy.ts'],
+    // p-queue wants a class for its queue, and the policy closes over the queue's state.
+    rules: { 'max-classes-per-file': ['error', 2] },
+  },
   {
     files: ['**/tests/*.ts'],
     // Tests use what development has.
--- a/packages/routing/src/newAdmission.ts
+++ b/packages/routing/src/newAdmission.ts
@@ -2,11 +2,13 @@
 import { Err, Ok } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
 import type { Member } from '@cyclamengate/coordination/member';
+import type { QueuePolicyName } from '@cyclamengate/settings/hostSettings';
 import type { EffectiveSettings } from '@cyclamengate/settings/newEffectiveSettings';
 import PQueue from 'p-queue';
-import { newFairQueueClass } from './newFairQueueClass.js';
-import type { FairQueue, TicketOptions } from './newFairQueueClass.js';
+import newFairQueuePolicy from './newFairQueuePolicy.js';
+import newFifoQueuePolicy from './newFifoQueuePolicy.js';
 import proportionalPart from './proportionalPart.js';
+import type { QueuePolicy, TicketOptions } from './QueuePolicy.js';
 import { notRun } from './refusal.js';
 import type { Refusal } from './refusal.js';
 import type { Ticket } from './ticket.js';
@@ -23,6 +25,7 @@
 export interface AdmissionOptions {
   clock: Clock;
   service: string;
+  policy: QueuePolicyName;
   readSettings: () => EffectiveSettings;
   /** Other live entries, with what they run and want. */
   otherEntries: () => Member[];
@@ -32,7 +35,7 @@
 
 /** Admits requests of one service: shares, limits, deadlines. */
 const newAdmission = (options: AdmissionOptions) => {
-  const { clock, service, readSettings, otherEntries, inFlightOf } = options;
+  const { clock, service, policy, readSettings, otherEntries, inFlightOf } = options;
 
   const limitOf = (customer: string): number => {
     const limit = readSettings().customers.get(customer)?.maxInFlight ?? 1;
@@ -40,17 +43,18 @@
     return proportionalPart(limit, inFlightOf(customer), others);
   };
 
-  const fair = newFairQueueClass({
+  const newQueuePolicy = policy === 'fifo' ? newFifoQueuePolicy : newFairQueuePolicy;
+  const order = newQueuePolicy({
     shareOf: (customer) => readSettings().customers.get(customer)?.share ?? 1,
     hasAllowance: (customer) => inFlightOf(customer) < limitOf(customer),
   });
-  const queue = new PQueue<FairQueue, TicketOptions>({
+  const queue = new PQueue<InstanceType<QueuePolicy['queueClass']>, TicketOptions>({
     concurrency: 1,
-    queueClass: fair.FairQueue,
+    queueClass: order.queueClass,
   });
   let holdMs = FIRST_GUESS_HOLD_MS;
 
-  const demand = (): number => fair.waiting() + queue.pending;
+  const demand = (): number => order.waiting() + queue.pending;
 
   /** Sets how many requests run here at once, as this host's part of the service's slots. */
   const setSlots = (slots: number): void => {
@@ -65,12 +69,9 @@
 
   /** How long a new request of this customer would wait, from its share of the slots. */
   const expectedWaitMs = ({ customer, priority }: Ticket): number => {
-    if (queue.pending < queue.concurrency && fair.waiting() === 0) return 0;
-    const competing = new Set([...fair.customersWaiting(priority), customer]);
-    const shareOf = (name: string): number => readSettings().customers.get(name)?.share ?? 1;
-    const all = [...competing].reduce((sum, name) => sum + shareOf(name), 0);
-    const startsPerMs = (queue.concurrency / holdMs) * (shareOf(customer) / all);
-    return (fair.waitingOf(customer) + 1) / startsPerMs;
+    if (queue.pending < queue.concurrency && order.waiting() === 0) return 0;
+    const startsPerMs = (queue.concurrency / holdMs) * order.partOf(customer, priority);
+    return (order.waitingBefore(customer) + 1) / startsPerMs;
   };
 
   const retryAt = (waitMs: number): number =>
@@ -79,7 +80,7 @@
   const findRefusal = (ticket: Ticket): Refusal | null => {
     const { maxQueued = 1 } = readSettings().customers.get(ticket.customer) ?? {};
     const waitMs = expectedWaitMs(ticket);
-    if (fair.waitingOf(ticket.customer) >= maxQueued) {
+    if (order.waitingBefore(ticket.customer) >= maxQueued) {
       return notRun('queue-full', 'too many requests of this customer wait', retryAt(waitMs));
     }
     if (queue.isPaused || clock.now() + waitMs <= ticket.deadline) return null;
@@ -147,8 +148,8 @@
     setSlots,
     demand,
     /** Corrects the estimate once the true cost is known, in tokens. */
-    correct: (ticket: Ticket, tokens: number): void => fair.charge(ticket, tokens - ticket.cost),
-    waiting: fair.waiting,
+    correct: (ticket: Ticket, tokens: number): void => order.charge(ticket, tokens - ticket.cost),
+    waiting: order.waiting,
   };
 };
 
--- a/packages/routing/src/newFairQueueClass.ts
+++ b/packages/routing/src/newFairQueuePolicy.ts
@@ -1,19 +1,10 @@
-import type { Queue, QueueAddOptions } from 'p-queue';
+import type { Queue } from 'p-queue';
 import type { Priority } from '@cyclamengate/upstreams/generation';
+import { QueuePolicy, ticketOf } from './QueuePolicy.js';
+import type { QueueRights, Run, TicketOptions, Waiting } from './QueuePolicy.js';
 import { PRIORITIES } from './refusal.js';
 import type { Ticket } from './ticket.js';
 
-type Run = () => Promise<unknown>;
-
-interface Waiting {
-  ticket: Ticket;
-  run: Run;
-}
-
-export interface TicketOptions extends QueueAddOptions {
-  ticket: Ticket;
-}
-
 /** Parts of the slots that classes of work get while all of them wait. */
 const CLASS_SHARES: Readonly<Record<Priority, number>> = {
   interactive: 16,
@@ -21,13 +12,6 @@
   training: 4,
 };
 
-export interface FairQueueOptions {
-  /** A customer's weight. */
-  shareOf: (customer: string) => number;
-  /** Whether one more of the customer's requests may run here now. */
-  hasAllowance: (customer: string) => boolean;
-}
-
 /** Service taken so far, in tokens by share, of those that compete on one level. */
 const newCounters = () => {
   const used = new Map<string, number>();
@@ -46,14 +30,14 @@
 };
 
 /**
- * Makes a queue class for p-queue that shares out service instead of taking turns by arrival.
+ * Shares out service instead of taking turns by arrival.
  *
  * With first-in-first-out, one customer's burst stands in front of everybody. Here each customer
  * has a counter of the tokens it was given, divided by its share, and the one with the lowest goes
  * next; the same among the classes of work. A request is charged its estimate when it starts and
  * the difference when its true cost is known.
  */
-export const newFairQueueClass = ({ shareOf, hasAllowance }: FairQueueOptions) => {
+const newFairQueuePolicy = ({ shareOf, hasAllowance }: QueueRights): QueuePolicy => {
   const queues = new Map<Priority, Map<string, Waiting[]>>(
     PRIORITIES.map((priority) => [priority, new Map<string, Waiting[]>()]),
   );
@@ -119,8 +103,7 @@
 
   class FairQueue implements Queue<Run, TicketOptions> {
     enqueue(run: Run, options?: Partial<TicketOptions>): void {
-      const ticket = options?.ticket;
-      if (!ticket) throw new Error('invariant broken: work is queued with its ticket');
+      const ticket = ticketOf(options);
       const customers = queuesOf(ticket.priority);
       if (customers.size === 0) classCounters.lift(ticket.priority, waitingClasses());
       if (!customers.has(ticket.customer)) {
@@ -162,21 +145,31 @@
     }
   }
 
-  return {
-    FairQueue,
-    charge,
-    /** Requests that wait, also those over their customer's limit. */
-    waiting: (): number => total,
-    /** Requests of a customer that wait. */
-    waitingOf: (customer: string): number =>
-      PRIORITIES.reduce(
+  class FairQueuePolicy extends QueuePolicy {
+    readonly queueClass = FairQueue;
+
+    charge(ticket: Ticket, tokens: number): void {
+      charge(ticket, tokens);
+    }
+
+    waiting(): number {
+      return total;
+    }
+
+    waitingBefore(customer: string): number {
+      return PRIORITIES.reduce(
         (sum, priority) => sum + (queuesOf(priority).get(customer)?.length ?? 0),
         0,
-      ),
-    /** Customers that wait for the same class of work. */
-    customersWaiting: (priority: Priority): string[] => [...queuesOf(priority).keys()],
-  };
+      );
+    }
+
+    partOf(customer: string, priority: Priority): number {
+      const competing = new Set([...queuesOf(priority).keys(), customer]);
+      const all = [...competing].reduce((sum, name) => sum + shareOf(name), 0);
+      return shareOf(customer) / all;
+    }
+  }
+  return new FairQueuePolicy();
 };
 
-export type FairQueueClass = ReturnType<typeof newFairQueueClass>;
-export type FairQueue = InstanceType<FairQueueClass['FairQueue']>;
+export default newFairQueuePolicy;
--- a/packages/routing/tests/newAdmission.test.ts
+++ b/packages/routing/tests/newAdmission.test.ts
@@ -1,4 +1,5 @@
 import { newManualClock, settle } from '@cyclamengate/fakes/newManualClock';
+import type { QueuePolicyName } from '@cyclamengate/settings/hostSettings';
 import newEffectiveSettings from '@cyclamengate/settings/newEffectiveSettings';
 import { subtreeSettingsSchema } from '@cyclamengate/settings/subtreeSettings';
 import test from 'ava';
@@ -7,7 +8,7 @@
 
 const HOLD_MS = 100;
 
-const newBench = (limit = 1_000) => {
+const newBench = (limit = 1_000, policy: QueuePolicyName = 'fair') => {
   const clock = newManualClock();
   const subtree = subtreeSettingsSchema.parse({
     customers: [
@@ -21,6 +22,7 @@
   const admission = newAdmission({
     clock,
     service: 'tone',
+    policy,
     readSettings: () => settings,
     otherEntries: () => [],
     inFlightOf,
--- a/packages/settings/src/hostSettings.ts
+++ b/packages/settings/src/hostSettings.ts
@@ -11,6 +11,14 @@
   .string()
   .regex(/^http:\/\/[^/\s]+:\d+$/, 'allowed: http://ADDRESS:PORT without a path');
 
+/** Who goes next among waiting requests; `fifo` is there to be measured against. */
+export const queuePolicySchema = z.enum(['fair', 'fifo']);
+export type QueuePolicyName = z.infer<typeof queuePolicySchema>;
+
+/** Which upstream gets a request; all but `affinity` are there to be measured against. */
+export const choicePolicySchema = z.enum(['affinity', 'least-in-flight', 'random']);
+export type ChoicePolicyName = z.infer<typeof choicePolicySchema>;
+
 /** What one process is told at its start, in its own YAML file. Everything else is published. */
 export const hostSettingsSchema = z.strictObject({
   id: nameSchema,
@@ -31,6 +39,12 @@
   /** For the rollout process: entries that run its generations. */
   entries: z.array(urlSchema).default([]),
   usageWindowSeconds: z.int().min(1).max(86_400).default(60),
+  policy: z
+    .strictObject({
+      queue: queuePolicySchema.default('fair'),
+      choice: choicePolicySchema.default('affinity'),
+    })
+    .prefault({}),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 });
 
--- /dev/null
+++ b/scripts/experiments.js
@@ -0,0 +1,263 @@
+/**
+ * Measures decisions against their baselines, side by side in one run, and writes the figures to
+ * docs/measurements/. Needs a build.
+ *
+ * node scripts/experiments.js [overhead] [throughput] [fairness] [choice]
+ */
+import { mkdir, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { build } from 'hdr-histogram-js';
+import { request } from 'undici';
+import newProcesses, { sleep, waitUntil } from '@cyclamengate/fakes/newProcesses';
+import { isWhole, keyOf, post } from '@cyclamengate/fakes/callers';
+
+const OUTPUT = 'docs/measurements';
+const MODEL = 'tone-assistant';
+const say = (text) => process.stdout.write(`${text}\n`);
+
+/** One model service in one failure domain, with as many upstreams and customers as asked for. */
+const settingsOf = (upstreams, slots, customers) => ({
+  subtrees: {
+    '/': {
+      operators: [{ id: 'admin', paths: ['/'] }],
+      services: [
+        {
+          id: MODEL,
+          type: 'model',
+          slotsPerUpstream: slots,
+          pools: [{ failureDomain: 'argos-c', minUpstreams: upstreams, maxUpstreams: upstreams }],
+        },
+      ],
+      customers,
+      keys: customers.map(({ id }) => ({ id: `${id}-key`, customer: id, digest: digestOf(id) })),
+    },
+  },
+});
+
+const { default: digest } = await import('@cyclamengate/common/digest');
+function digestOf(customer) {
+  return digest(keyOf(customer));
+}
+
+/** Runs something on a fresh small system, with one entry of a given policy. */
+const withSystem = async ({ upstreams, slots, customers, policy, platformArgs }, use) => {
+  const processes = await newProcesses();
+  try {
+    const platform = await processes.startPlatform(['--slots', String(slots), ...platformArgs]);
+    const entry = await processes.startDaemon('entry', 'entry-1', 'argos-c', platform.url, {
+      policy,
+    });
+    await processes.startDaemon('control', 'control-1', 'argos-c', platform.url, {
+      seeds: [entry.peerUrl],
+    });
+    const file = join(processes.folder, 'settings.yaml');
+    await writeFile(file, JSON.stringify(settingsOf(upstreams, slots, customers)));
+    const published = await processes.run('cli', [
+      'publish',
+      file,
+      '--operator',
+      'admin',
+      '--log',
+      platform.url,
+      '--peer',
+      entry.peerUrl,
+    ]);
+    if (published.status !== 0) throw new Error(published.text);
+    const listUpstreams = async () =>
+      (await (await request(`${platform.url}/hosts`)).body.json()).upstreams;
+    await waitUntil('upstreams', async () => {
+      const live = (await listUpstreams()).filter(({ state }) => state === 'live');
+      return live.length === upstreams;
+    });
+    await sleep(2_500);
+    return await use({ processes, platform, entry, listUpstreams });
+  } finally {
+    await processes.stopAll();
+  }
+};
+
+const runPlan = async (processes, target, plan, plot) => {
+  const file = join(processes.folder, `plan-${Math.random()}.yaml`);
+  await writeFile(file, JSON.stringify({ model: MODEL, ...plan }));
+  const run = await processes.run('cli', [
+    'bench',
+    file,
+    '--target',
+    target,
+    '--json',
+    ...(plot ? ['--plot', join(OUTPUT, plot)] : []),
+  ]);
+  if (run.status !== 0) throw new Error(run.text);
+  return JSON.parse(run.text);
+};
+
+const save = async (name, figures) => {
+  await mkdir(OUTPUT, { recursive: true });
+  await writeFile(join(OUTPUT, `${name}.json`), `${JSON.stringify(figures, null, 2)}\n`);
+};
+
+const PAIRS = 400;
+const TOKENS = 32;
+
+/** Latency added by the entry: the same request in turn straight to the upstream and through it. */
+const overhead = () =>
+  withSystem(
+    {
+      upstreams: 1,
+      slots: 8,
+      customers: [{ id: 'players' }],
+      platformArgs: ['--token-delay', '2', '--prefill-delay', '0'],
+    },
+    async ({ entry, listUpstreams }) => {
+      const [{ url }] = await listUpstreams();
+      const straight = build();
+      const through = build();
+      const time = async (histogram, send) => {
+        const startedAt = performance.now();
+        await send();
+        histogram.recordValue(Math.round((performance.now() - startedAt) * 1_000));
+      };
+      const sendStraight = async () => {
+        const body = { requestId: 'r', customer: 'c', prompt: 'x', prefix: [], maxTokens: TOKENS };
+        const answer = await request(`${url}/v1/generate`, {
+          method: 'POST',
+          body: JSON.stringify(body),
+        });
+        await answer.body.text();
+      };
+      const sendThrough = async () => {
+        const body = { model: MODEL, prompt: 'x', max_tokens: TOKENS, stream: true };
+        if (!isWhole(await post(`${entry.url}/v1/completions`, 'players', body))) {
+          throw new Error('an answer was not whole');
+        }
+      };
+      for (let pair = 0; pair < PAIRS + 20; pair += 1) {
+        const isWarm = pair >= 20;
+        await time(isWarm ? straight : build(), sendStraight);
+        await time(isWarm ? through : build(), sendThrough);
+      }
+      const figures = Object.fromEntries(
+        [50, 99].map((percentile) => {
+          const [direct, relayed] = [straight, through].map(
+            (histogram) => histogram.getValueAtPercentile(percentile) / 1_000,
+          );
+          return [`p${percentile}`, { direct, relayed, ratio: relayed / direct }];
+        }),
+      );
+      say(`overhead, ${TOKENS} tokens, ms: ${JSON.stringify(figures)}`);
+      await save('overhead', figures);
+    },
+  );
+
+/** What one entry relays at the most: load raised until answers are refused or late. */
+const throughput = () =>
+  withSystem(
+    {
+      upstreams: 4,
+      slots: 512,
+      customers: [{ id: 'players', maxInFlight: 4_000, maxQueued: 4_000 }],
+      platformArgs: ['--token-delay', '10', '--prefill-delay', '0'],
+    },
+    async ({ processes, entry }) => {
+      const rows = [];
+      for (const rate of [50, 100, 200, 300, 400]) {
+        const result = await runPlan(processes, entry.url, {
+          customers: [{ id: 'players', requestsPerSecond: rate }],
+          seconds: 8,
+          warmupSeconds: 2,
+          maxTokens: TOKENS,
+        });
+        const { all, tokensPerSecond, requestsPerSecond } = result;
+        rows.push({
+          offered: rate,
+          requestsPerSecond,
+          tokensPerSecond,
+          p50: all.wholeMs.p50,
+          p99: all.wholeMs.p99,
+          refused: all.refused,
+          broken: all.broken,
+        });
+        say(`throughput: ${JSON.stringify(rows.at(-1))}`);
+      }
+      await save('throughput', rows);
+    },
+  );
+
+const SMALL = ['teachers', 'ledger', 'booking', 'quotes', 'repairs', 'shop', 'workshop'];
+
+/** One customer at ten times its share, against the others running alone, fair and first-in-first-out. */
+const fairness = async () => {
+  const customers = ['players', ...SMALL].map((id) => ({
+    id,
+    maxInFlight: 1_000,
+    maxQueued: 2_000,
+  }));
+  const small = SMALL.map((id) => ({ id, requestsPerSecond: 4 }));
+  // 24 slots of about 200 ms serve about 120 requests a second; an eighth of that is a share.
+  const load = { seconds: 20, warmupSeconds: 4, maxTokens: 40, prefixes: 1, timeoutMs: 8_000 };
+  const runs = {
+    alone: { policy: { queue: 'fair' }, large: 0 },
+    fair: { policy: { queue: 'fair' }, large: 150 },
+    fifo: { policy: { queue: 'fifo' }, large: 150 },
+  };
+  const figures = {};
+  for (const [name, { policy, large }] of Object.entries(runs)) {
+    figures[name] = await withSystem(
+      {
+        upstreams: 3,
+        slots: 8,
+        customers,
+        policy,
+        platformArgs: ['--token-delay', '5', '--prefill-delay', '0'],
+      },
+      ({ processes, entry }) =>
+        runPlan(
+          processes,
+          entry.url,
+          { ...load, customers: [{ id: 'players', requestsPerSecond: large }, ...small] },
+          `fairness-${name}.svg`,
+        ),
+    );
+    const others = figures[name].customers.filter(({ customer }) => customer !== 'players');
+    const worst = Math.max(...others.map(({ wholeMs }) => wholeMs.p99));
+    const refused = others.reduce((sum, one) => sum + one.refused + one.broken, 0);
+    figures[name].worstSmall = { p99: worst, notServed: refused };
+    say(`fairness ${name}: worst small customer p99 ${worst.toFixed(0)} ms, not served ${refused}`);
+  }
+  await save('fairness', figures);
+};
+
+/** Which upstream gets a request: affinity against least-in-flight and random. */
+const choice = async () => {
+  const figures = {};
+  for (const policy of ['affinity', 'least-in-flight', 'random']) {
+    figures[policy] = await withSystem(
+      {
+        upstreams: 6,
+        slots: 8,
+        customers: [{ id: 'players', maxInFlight: 1_000, maxQueued: 2_000 }],
+        policy: { choice: policy },
+        platformArgs: ['--token-delay', '5', '--prefill-delay', '150'],
+      },
+      ({ processes, entry }) =>
+        runPlan(processes, entry.url, {
+          customers: [{ id: 'players', requestsPerSecond: 70 }],
+          seconds: 20,
+          warmupSeconds: 4,
+          maxTokens: 40,
+          prefixes: 300,
+        }),
+    );
+    const { firstTokenMs, wholeMs } = figures[policy].all;
+    say(
+      `choice ${policy}: first token p50 ${firstTokenMs.p50.toFixed(0)} p99 ${firstTokenMs.p99.toFixed(0)} ms, whole p99 ${wholeMs.p99.toFixed(0)} ms`,
+    );
+  }
+  await save('choice', figures);
+};
+
+const EXPERIMENTS = { overhead, throughput, fairness, choice };
+const wanted = process.argv.slice(2);
+for (const name of wanted.length > 0 ? wanted : Object.keys(EXPERIMENTS)) {
+  await EXPERIMENTS[name]();
+}
