--- a/apps/standin/src/newPlatformStandin.ts
+++ b/apps/standin/src/newPlatformStandin.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import polka from 'polka';
 import { faulty, readJson } from './faulty.js';
 import { faultSwitchSchema, newFaultSwitches } from './faultSwitches.js';
@@ -47,12 +47,29 @@
       return wanted && { status: 200, body: wanted };
     }),
   );
+  let closedBytes = 0;
+  const sockets = new Set<Socket>();
+  const countBytes = (): number =>
+    [...sockets].reduce(
+      (sum, { bytesRead, bytesWritten }) => sum + bytesRead + bytesWritten,
+      closedBytes,
+    );
   app.get(
     '/counts',
-    faulty(faults, 'switches', async () => ({ status: 200, body: log.counts() })),
+    faulty(faults, 'switches', async () => ({
+      status: 200,
+      body: { ...log.counts(), bytes: countBytes() },
+    })),
   );
 
   const server = createServer((request, response) => app.handler(request as never, response));
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => {
+      sockets.delete(socket);
+      closedBytes += socket.bytesRead + socket.bytesWritten;
+    });
+  });
   await new Promise<void>((resolve) => {
     server.listen(options.port, '127.0.0.1', resolve);
   });
--- a/packages/coordination/src/newRuntime.ts
+++ b/packages/coordination/src/newRuntime.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
 import type Clock from '@cyclamengate/common/Clock';
 import type { Log } from '@cyclamengate/common/newLogger';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
@@ -156,6 +157,22 @@
   const server = createServer(
     createHTTPHandler({ router: newPeerRouter(service), basePath: '/trpc/' }),
   );
+  const sockets = new Set<Socket>();
+  let closedBytes = 0;
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => {
+      sockets.delete(socket);
+      closedBytes += socket.bytesRead + socket.bytesWritten;
+    });
+  });
+  metrics.gauge('peer_bytes', () =>
+    [...sockets].reduce(
+      (sum, { bytesRead, bytesWritten }) => sum + bytesRead + bytesWritten,
+      closedBytes,
+    ),
+  );
+
   const start = async (): Promise<void> => {
     await startServer(server, settings.peer.host, settings.peer.port);
     tasks.start('log writer', writer.run);
--- /dev/null
+++ b/scripts/naive.js
@@ -0,0 +1,273 @@
+/**
+ * Shows that the failure tests fail on the naive way: puts one naive variant after the other into the
+ * built files, runs the test that is meant to catch it, and puts the file back. Writes the outcome to
+ * docs/measurements/naive.json. Needs a build, and nothing else running in this folder.
+ *
+ * node scripts/naive.js [part of a variant's name]
+ */
+import { spawn } from 'node:child_process';
+import { mkdir, readFile, writeFile } from 'node:fs/promises';
+
+const OUTPUT = 'docs/measurements';
+const say = (text) => process.stdout.write(`${text}\n`);
+
+/** What stands in the built file, what the naive way has instead, and the test that must fail. */
+const VARIANTS = [
+  [
+    'the last writer of settings wins',
+    'packages/settings/dist/src/applySettingsChange.js',
+    'if (!stale)',
+    'if (true)',
+    'packages/settings',
+    '*two racing changes*',
+  ],
+  [
+    'a claim of a lease is always good',
+    'packages/coordination/dist/src/applyLease.js',
+    'if (standing === record.basedOn)',
+    'if (true)',
+    'packages/coordination',
+    '*claim that lands late*',
+  ],
+  [
+    'a holder does not look at its deadline',
+    'packages/coordination/dist/src/newLease.js',
+    'held && held.deadline - neededMs > clock.now()',
+    'held',
+    'packages/coordination',
+    '*frozen beyond its term holds*',
+  ],
+  [
+    'others take a lease without waiting',
+    'packages/coordination/dist/src/newLease.js',
+    'readAt + LEASE_TERM_MS + LEASE_MARGIN_MS + deferMs()',
+    'readAt',
+    'packages/coordination',
+    '*never two holders*',
+  ],
+  [
+    'a reader folds on over a hole',
+    'packages/coordination/dist/src/newFollower.js',
+    'if (record.offset === fold.state().offset + 1)',
+    'if (record.offset > fold.state().offset)',
+    'packages/coordination',
+    '*start from any checkpoint*',
+  ],
+  [
+    'an empty page is good news',
+    'packages/coordination/dist/src/followLog.js',
+    'behindSince = null;\n        avoid(source);',
+    'behindSince = null;',
+    'packages/coordination',
+    '*leaves a relay*',
+  ],
+  [
+    'usage is counted as often as it is written',
+    'packages/coordination/dist/src/applyUsage.js',
+    'if (delta.sequence <= counted)',
+    'if (false)',
+    'packages/usage',
+    '*by its keeper counts once*',
+  ],
+  [
+    'usage stands in one memory alone',
+    'packages/usage/dist/src/newMeter.js',
+    'await copy([...sealed.values()]);',
+    '',
+    'packages/usage',
+    '*killed host loses no usage*',
+  ],
+  [
+    'late usage waits for other usage',
+    'packages/usage/dist/src/reportUsage.js',
+    'Object.keys(late).length > 0 ? lastEnded() : undefined',
+    'undefined',
+    'packages/usage',
+    '*no other usage follows*',
+  ],
+  [
+    'every finished sample is delivered',
+    'packages/coordination/dist/src/applySample.js',
+    "if (slot.sample)\n        return rejected('the slot is bound already');",
+    '',
+    'packages/rollouts',
+    '*bind each slot once*',
+  ],
+  [
+    'samples are judged at the host alone',
+    'packages/coordination/dist/src/applySample.js',
+    'if (!isAllFresh)',
+    'if (false)',
+    'packages/rollouts',
+    '*old view*',
+  ],
+  [
+    'nobody looks at bound samples again',
+    'packages/rollouts/dist/src/newSampleReader.js',
+    'await releaseUnfit(trainer, step);',
+    '',
+    'packages/rollouts',
+    '*lost both copies*',
+  ],
+  [
+    'stragglers are waited for',
+    'packages/rollouts/dist/src/newStepRunner.js',
+    'coverStragglers(open, slots);',
+    '',
+    'packages/rollouts',
+    '*stragglers are covered*',
+  ],
+  [
+    'samples are kept on one host',
+    'packages/rollouts/dist/src/newPayloadCopies.js',
+    'const copy = await copyToOne(payloadDigest, payload);',
+    'const copy = null;',
+    'packages/rollouts',
+    '*killed process loses no bound*',
+  ],
+  [
+    'a call runs without its claim',
+    'packages/routing/dist/src/newCallClaims.js',
+    'if (!decision.val.accepted)',
+    'if (false)',
+    'packages/routing',
+    '*key at two hosts at once*',
+  ],
+  [
+    'an answer begins again elsewhere',
+    'packages/routing/dist/src/newGenerationRelay.js',
+    'prefix: [...progress.tokens]',
+    'prefix: []',
+    'packages/routing',
+    '*goes on elsewhere*',
+  ],
+  [
+    'every refusal says not run',
+    'packages/routing/dist/src/newGenerationRelay.js',
+    "return progress.mayHaveRun ? { ...refusal, outcome: 'unknown' } : refusal;",
+    'return refusal;',
+    'packages/routing',
+    '*does not claim that nothing ran*',
+  ],
+  [
+    'no request is ever suspected',
+    'packages/routing/dist/src/newGenerationRelay.js',
+    'if (hasDied)',
+    'if (false)',
+    'packages/routing',
+    '*second upstream that died*',
+  ],
+  [
+    'every broken answer counts as a death',
+    'packages/routing/dist/src/findDeath.js',
+    'return isRefusing && !isTakenAway;',
+    'return true;',
+    'packages/routing',
+    '*put no request under suspicion*',
+  ],
+  [
+    'retries have no budget',
+    'packages/routing/dist/src/newRetryBudget.js',
+    'if (saved < 1)',
+    'if (false)',
+    'packages/routing',
+    '*retries stop*',
+  ],
+  [
+    'first in, first out',
+    'packages/routing/dist/src/newAdmission.js',
+    "policy === 'fifo' ? newFifoQueuePolicy : newFairQueuePolicy",
+    'newFifoQueuePolicy',
+    'packages/routing',
+    '*burst of one customer*',
+  ],
+  [
+    'a refused request stays in the queue',
+    'packages/routing/dist/src/newAdmission.js',
+    'order.giveUp(ticket);',
+    '',
+    'packages/routing',
+    '*never starts afterwards*',
+  ],
+  [
+    'a lease is looked at once',
+    'packages/platform/dist/src/newHttpCaller.js',
+    'if (!isStillHeld())',
+    'if (false)',
+    'packages/platform',
+    '*before it is written*',
+  ],
+  [
+    'a connection is closed in good order',
+    'packages/platform/dist/src/newHttpCaller.js',
+    'socket.resetAndDestroy()',
+    'socket.end()',
+    'packages/platform',
+    '*resets its connection*',
+  ],
+  [
+    'keys are checked when a request begins',
+    'apps/entry/dist/src/newOpenRequests.js',
+    'controller.abort(KEY_WITHDRAWN);',
+    '',
+    'apps/entry',
+    '*withdrawn key ends*',
+  ],
+  [
+    'a shutdown does not wait',
+    'apps/entry/dist/src/newEntry.js',
+    'await openRequests.whenEmpty();',
+    '',
+    'apps/entry',
+    '*graceful shutdown*',
+  ],
+  [
+    'answers are not bound to requests',
+    'packages/upstreams/dist/src/newHttpModelEngine.js',
+    'event.val.requestId !== generation.requestId',
+    'false',
+    'apps/entry',
+    '*crossed, cut and silent*',
+  ],
+  [
+    'only the log is read',
+    'packages/coordination/dist/src/newRuntime.js',
+    'member ? peerAt(member.peerUrl).source : logSource',
+    'logSource',
+    'apps/control',
+    '*from the platform alone*',
+  ],
+  [
+    'checkpoints by number and time alone',
+    'packages/coordination/dist/src/writeCheckpoints.js',
+    'return isNearEnd ||',
+    'return',
+    'apps/control',
+    '*new set of hosts*',
+  ],
+];
+
+const runTest = (folder, match) =>
+  new Promise((resolve) => {
+    const child = spawn('npx', ['ava', `${folder}/dist/tests/**`, `--match=${match}`], {
+      stdio: 'ignore',
+    });
+    child.once('exit', resolve);
+  });
+
+const wanted = process.argv[2] ?? '';
+const outcomes = [];
+for (const [name, file, text, by, folder, match] of VARIANTS.filter(([each]) =>
+  each.includes(wanted),
+)) {
+  const built = await readFile(file, 'utf8');
+  if (!built.includes(text)) throw new Error(`${file} has no ${text}`);
+  await writeFile(file, built.replaceAll(text, by));
+  const status = await runTest(folder, match).finally(() => writeFile(file, built));
+  const isCaught = status !== 0;
+  outcomes.push({ variant: name, test: match, isCaught });
+  say(`${isCaught ? 'caught ' : 'MISSED '} ${name}  (${match})`);
+}
+await mkdir(OUTPUT, { recursive: true });
+if (!wanted) await writeFile(`${OUTPUT}/naive.json`, `${JSON.stringify(outcomes, null, 2)}\n`);
+process.exitCode = outcomes.every(({ isCaught }) => isCaught) ? 0 : 1;
