--- a/apps/control/tests/failover.process.test.ts
+++ b/apps/control/tests/failover.process.test.ts
@@ -3,6 +3,7 @@
 import { isWhole, keyOf, post } from '@cyclamengate/fakes/callers';
 import { waitUntil } from '@cyclamengate/fakes/newProcesses';
 import test from 'ava';
+import { request } from 'undici';
 
 type System = Awaited<ReturnType<typeof newSystem>>;
 
@@ -23,6 +24,17 @@
   });
 };
 
+/** Begins with a control process that is killed in its first orders, and lets another one go on. */
+const killControlAmidOrders = async (system: System): Promise<void> => {
+  const beginning = system.begin();
+  await waitUntil('orders', async () => system.platform.fleet.received().length >= 3);
+  system.control.child.kill('SIGKILL');
+  await system.startOne('control', 'control-2', 1);
+  await beginning;
+  await waitUntil('all are there', async () => countOf(system, 'tone-assistant') >= 6);
+  await sleep(2_500);
+};
+
 // The process that orders upstreams is stopped by its machine for longer than its lease, another one
 // takes over, and then the first one goes on in the middle of what it was doing. The platform would
 // get orders from two processes that each believe they are in charge.
@@ -77,13 +89,7 @@
   async (t) => {
     const system = await newSystem(1);
     t.teardown(system.stop);
-    const beginning = system.begin();
-    await waitUntil('the first orders', async () => system.platform.fleet.received().length >= 3);
-    system.control.child.kill('SIGKILL');
-    await system.startOne('control', 'control-2', 1);
-    await beginning;
-    await waitUntil('all are there', async () => countOf(system, 'tone-assistant') >= 6);
-    await sleep(2_500);
+    await killControlAmidOrders(system);
     t.is(countOf(system, 'tone-assistant'), 6);
     t.true(isInOrder(system.platform.fleet.received()));
   },
@@ -291,3 +297,50 @@
   );
   t.pass();
 });
+
+// The order interface loses its answers, and the process that gets none is killed in between.
+test.serial(
+  'orders with lost answers and a killed control process end with what is wanted',
+  async (t) => {
+    const system = await newSystem(1);
+    t.teardown(system.stop);
+    system.platform.faults.set({
+      target: 'orders',
+      fault: 'lose-answer',
+      isOn: true,
+      times: 10,
+      delayMs: 0,
+    });
+    await killControlAmidOrders(system);
+    t.is(countOf(system, 'tone-assistant'), 6);
+    t.is(countOf(system, 'client-desk'), 3);
+    t.true(isInOrder(system.platform.fleet.received()));
+  },
+);
+
+// A zone's cheap upstreams are taken back while an entry that streams from them is being replaced.
+test.serial('streams of a draining entry outlive the reclaim of their zone', async (t) => {
+  const system = await newSystem(2, { tokenDelayMs: 20 });
+  t.teardown(system.stop);
+  await system.begin();
+  const [one] = system.entries;
+  const streams = Array.from({ length: 6 }, (_, index) =>
+    system.complete(
+      one!,
+      'workshop',
+      { max_tokens: 250, prompt: `question ${index}` },
+      { 'x-priority': 'training' },
+    ),
+  );
+  await sleep(800);
+  const ended = system.processes.end(one!.child, 'SIGTERM');
+  const reclaimed = await request(`${system.platform.url}/reclaim`, {
+    method: 'POST',
+    body: JSON.stringify({ failureDomain: 'nafplio-a' }),
+  });
+  t.is(reclaimed.statusCode, 200);
+  const answers = await Promise.all(streams);
+  t.true(answers.every(isWhole));
+  await ended;
+  t.is(one!.child.exitCode, 0);
+});
--- a/apps/entry/src/newCompletionHandler.ts
+++ b/apps/entry/src/newCompletionHandler.ts
@@ -49,13 +49,15 @@
   refuse: (refusal: Refusal) => Promise<void>;
 }
 
-const newStreamSink = (
-  response: ServerResponse,
-  requestId: string,
-  model: string,
-  promptTokens: number,
-  now: () => number,
-): Sink => {
+interface SinkOptions {
+  response: ServerResponse;
+  requestId: string;
+  model: string;
+  promptTokens: number;
+  now: () => number;
+}
+
+const newStreamSink = ({ response, requestId, model, promptTokens, now }: SinkOptions): Sink => {
   const begin = (): void => {
     if (response.headersSent) return;
     response.writeHead(200, {
@@ -90,13 +92,7 @@
   };
 };
 
-const newWholeSink = (
-  response: ServerResponse,
-  requestId: string,
-  model: string,
-  promptTokens: number,
-  now: () => number,
-): Sink => {
+const newWholeSink = ({ response, requestId, model, promptTokens, now }: SinkOptions): Sink => {
   const texts: string[] = [];
   const versions = new Set<number>();
   return {
@@ -174,7 +170,7 @@
     const { requestId, caller } = admitted;
     const promptTokens = Math.ceil(promptOf(request).length / CHARACTERS_PER_TOKEN);
     const newSink = request.stream ? newStreamSink : newWholeSink;
-    const sink = newSink(response, requestId, request.model, promptTokens, now);
+    const sink = newSink({ response, requestId, model: request.model, promptTokens, now });
     const cost = promptTokens + request.max_tokens;
     const controller = gate.watchCaller(response);
     const startedAt = now();
--- a/apps/standin/src/newEngineStandin.ts
+++ b/apps/standin/src/newEngineStandin.ts
@@ -87,7 +87,9 @@
   ): Promise<void> => {
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     const write = (event: unknown): boolean => response.write(`data: ${JSON.stringify(event)}\n\n`);
-    const answerId = useFault('cross-answers') ? 'another-request' : requestId;
+    const isCrossed = useFault('cross-answers') !== null;
+    const answerId = isCrossed ? 'another-request' : requestId;
+    const words = isCrossed ? ' somebody else' : ` ${prompt.length}`;
     const cut = useFault('cut-answers');
     await prefill(prompt);
     let index = prefix.length;
@@ -104,7 +106,7 @@
       write({
         requestId: answerId,
         index,
-        text: ` ${prompt.length}.${index}`,
+        text: `${words}.${index}`,
         version: newestVersion(),
       });
       index += 1;
--- a/packages/rollouts/tests/rollouts.test.ts
+++ b/packages/rollouts/tests/rollouts.test.ts
@@ -1,16 +1,14 @@
 import newLogger from '@cyclamengate/common/newLogger';
-import newMetrics from '@cyclamengate/common/newMetrics';
 import { Err, Ok } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
 import type { Member } from '@cyclamengate/coordination/member';
-import newFollower from '@cyclamengate/coordination/newFollower';
-import newLogWriter from '@cyclamengate/coordination/newLogWriter';
 import type { Peer } from '@cyclamengate/coordination/newPeer';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import type { ManualClock } from '@cyclamengate/fakes/newManualClock';
 import { newMemoryLog } from '@cyclamengate/fakes/newMemoryLog';
 import type { MemoryLog } from '@cyclamengate/fakes/newMemoryLog';
 import { trainerSettingsSchema } from '@cyclamengate/settings/trainerSettings';
+import newLogHost from '@cyclamengate/harness/newLogHost';
 import test from 'ava';
 import newPayloadCopies from '../src/newPayloadCopies.js';
 import newPayloadStore from '../src/newPayloadStore.js';
@@ -78,19 +76,8 @@
   const members: Member[] = [];
 
   const newHost = (id: string, failureDomain: string) => {
-    const stop = new AbortController();
     const store = newPayloadStore();
-    const follower = newFollower(clock);
-    const metrics = newMetrics();
-    const writer = newLogWriter({
-      clock,
-      log,
-      follower,
-      metrics,
-      writer: id,
-      appendsPerSecond: () => 50,
-      random: () => 0.5,
-    });
+    const { follower, writer, metrics, signal, kill } = newLogHost(log, clock, id);
     const self: Member = {
       id,
       incarnation: id,
@@ -117,15 +104,6 @@
           readPayload: async (digest: string) => Ok(stores.get(url)?.read(digest) ?? null),
         }) as unknown as Peer,
     });
-    const read = async (): Promise<void> => {
-      while (!stop.signal.aborted) {
-        const page = await log.read(follower.next());
-        if (page.ok) follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
-        await clock.sleepUntil(clock.now() + 20, stop.signal);
-      }
-    };
-    read().catch(() => undefined);
-    writer.run(stop.signal).catch(() => undefined);
     const maker = new FakeMaker(clock, id);
     const runner = newStepRunner({
       clock,
@@ -143,15 +121,12 @@
       follower,
       store,
       readSamples,
-      run: () => runner.run(trainer, 'key', request, clock.now() + request.timeoutMs, stop.signal),
+      run: () => runner.run(trainer, 'key', request, clock.now() + request.timeoutMs, signal),
       /** The process is gone, and with it everything in its memory. */
       kill: (): void => {
-        stop.abort();
+        kill();
         stores.delete(id);
       },
-      loseMemory: (): void => {
-        stores.set(id, newPayloadStore());
-      },
     };
   };
 
@@ -171,6 +146,15 @@
   return { log, clock, newHost, publish };
 };
 
+/** Two processes in two failure domains that have read what there is. */
+const newPair = async () => {
+  const bench = newBench();
+  const one = bench.newHost('one', 'argos-c');
+  const two = bench.newHost('two', 'nafplio-a');
+  await bench.clock.advance(100);
+  return { ...bench, one, two };
+};
+
 type Host = ReturnType<ReturnType<typeof newBench>['newHost']>;
 
 /** Reads a page while time goes on. */
@@ -199,10 +183,7 @@
 // The trainer asks two processes for the same step, since the first one was slow to answer. Both make
 // all samples; the naive way delivers both.
 test('two processes that fill the same step bind each slot once', async (t) => {
-  const { clock, newHost } = newBench();
-  const one = newHost('one', 'argos-c');
-  const two = newHost('two', 'nafplio-a');
-  await clock.advance(100);
+  const { clock, one, two } = await newPair();
   Promise.all([one.run(), two.run()]).catch(() => undefined);
   await clock.advance(2_000);
   const first = await readAll(clock, one);
@@ -213,10 +194,7 @@
 
 // The answer with the samples is lost on its way and the trainer asks again, perhaps elsewhere.
 test('the same cursor gives the same samples again, from either process', async (t) => {
-  const { clock, newHost } = newBench();
-  const one = newHost('one', 'argos-c');
-  const two = newHost('two', 'nafplio-a');
-  await clock.advance(100);
+  const { clock, one, two } = await newPair();
   one.run().catch(() => undefined);
   await clock.advance(2_000);
   const lost = await readPage(clock, one, 0);
@@ -227,10 +205,7 @@
 
 // The process that made the samples is killed after it bound them and before anybody read them.
 test('a killed process loses no bound sample, its copy is elsewhere', async (t) => {
-  const { clock, newHost } = newBench();
-  const one = newHost('one', 'argos-c');
-  const two = newHost('two', 'nafplio-a');
-  await clock.advance(100);
+  const { clock, one, two } = await newPair();
   one.run().catch(() => undefined);
   await clock.advance(450);
   one.kill();
@@ -242,10 +217,7 @@
 // Both hosts that hold a sample are replaced before the trainer read it. The trainer would wait for
 // ever, or get an empty page for a whole one.
 test('a slot that lost both copies before it was offered is made anew', async (t) => {
-  const { clock, newHost } = newBench();
-  const one = newHost('one', 'argos-c');
-  const two = newHost('two', 'nafplio-a');
-  await clock.advance(100);
+  const { clock, newHost, one, two } = await newPair();
   one.run().catch(() => undefined);
   await clock.advance(2_000);
   one.kill();
--- a/packages/routing/tests/newCallClaims.test.ts
+++ b/packages/routing/tests/newCallClaims.test.ts
@@ -1,35 +1,13 @@
-import newMetrics from '@cyclamengate/common/newMetrics';
-import newFollower from '@cyclamengate/coordination/newFollower';
-import newLogWriter from '@cyclamengate/coordination/newLogWriter';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import type { ManualClock } from '@cyclamengate/fakes/newManualClock';
 import { newMemoryLog } from '@cyclamengate/fakes/newMemoryLog';
 import type { MemoryLog } from '@cyclamengate/fakes/newMemoryLog';
+import newLogHost from '@cyclamengate/harness/newLogHost';
 import test from 'ava';
 import newCallClaims from '../src/newCallClaims.js';
 
-const newHost = (log: MemoryLog, clock: ManualClock, name: string) => {
-  const follower = newFollower(clock);
-  const writer = newLogWriter({
-    clock,
-    log,
-    follower,
-    metrics: newMetrics(),
-    writer: name,
-    appendsPerSecond: () => 100,
-    random: () => 0.5,
-  });
-  const read = async (): Promise<void> => {
-    for (;;) {
-      const page = await log.read(follower.next());
-      if (page.ok) follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
-      await clock.sleepUntil(clock.now() + 20);
-    }
-  };
-  read().catch(() => undefined);
-  writer.run(new AbortController().signal).catch(() => undefined);
-  return newCallClaims(clock, writer);
-};
+const newHost = (log: MemoryLog, clock: ManualClock, name: string) =>
+  newCallClaims(clock, newLogHost(log, clock, name).writer);
 
 const newBench = () => {
   const log = newMemoryLog();
--- a/packages/usage/tests/usage.test.ts
+++ b/packages/usage/tests/usage.test.ts
@@ -1,11 +1,8 @@
 import newLogger from '@cyclamengate/common/newLogger';
-import newMetrics from '@cyclamengate/common/newMetrics';
 import { Err, Ok } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
 import { REPORTS_LEASE } from '@cyclamengate/coordination/leaseNames';
-import newFollower from '@cyclamengate/coordination/newFollower';
 import { newLease } from '@cyclamengate/coordination/newLease';
-import newLogWriter from '@cyclamengate/coordination/newLogWriter';
 import type { UsageDelta } from '@cyclamengate/coordination/usageRecords';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import type { ManualClock } from '@cyclamengate/fakes/newManualClock';
@@ -14,6 +11,7 @@
 import type { PlatformFault } from '@cyclamengate/platform/platformFault';
 import type { UsageReport } from '@cyclamengate/platform/usageReport';
 import UsageReports from '@cyclamengate/platform/UsageReports';
+import newLogHost from '@cyclamengate/harness/newLogHost';
 import test from 'ava';
 import newMeter from '../src/newMeter.js';
 import newUsageKeeper from '../src/newUsageKeeper.js';
@@ -40,32 +38,8 @@
   }
 }
 
-const newHost = (log: MemoryLog, clock: ManualClock, name: string) => {
-  const follower = newFollower(clock);
-  const stop = new AbortController();
-  const writer = newLogWriter({
-    clock,
-    log,
-    follower,
-    metrics: newMetrics(),
-    writer: name,
-    appendsPerSecond: () => 50,
-    random: () => 0.5,
-  });
-  const read = async (): Promise<void> => {
-    while (!stop.signal.aborted) {
-      const page = await log.read(follower.next());
-      if (page.ok) follower.ingest({ ...page.val, logFirst: 0, ageMs: 0 });
-      await clock.sleepUntil(clock.now() + 50, stop.signal);
-    }
-  };
-  read().catch(() => undefined);
-  writer.run(stop.signal).catch(() => undefined);
-  return { follower, writer, signal: stop.signal, kill: () => stop.abort() };
-};
-
 const newReporter = (log: MemoryLog, clock: ManualClock, reports: UsageReports, name: string) => {
-  const host = newHost(log, clock, name);
+  const host = newLogHost(log, clock, name);
   const { follower, writer, signal } = host;
   const lease = newLease({
     clock,
@@ -90,13 +64,19 @@
   name: string,
   copy: (deltas: UsageDelta[]) => Promise<void> = async () => undefined,
 ) => {
-  const host = newHost(log, clock, name);
+  const host = newLogHost(log, clock, name);
   const { follower, writer, signal } = host;
   const meter = newMeter({ clock, follower, writer, host: name, windowMs: WINDOW_MS, copy });
   meter.run(signal).catch(() => undefined);
   return { ...host, meter };
 };
 
+const newBench = () => ({
+  log: newMemoryLog(),
+  clock: newManualClock(),
+  reports: new FakeReports(),
+});
+
 const used = (outputTokens: number) => ({ requests: 1, promptTokens: 0, outputTokens });
 
 const billedOf = (reports: FakeReports): number => {
@@ -117,9 +97,7 @@
 // The platform takes a report and its answer is lost, while usage of that window still trickles in.
 // The naive way sends the window again with other figures, and the customer's bill is wrong.
 test('a report whose answer is lost is sent again with the very same figures', async (t) => {
-  const log = newMemoryLog();
-  const clock = newManualClock();
-  const reports = new FakeReports();
+  const { log, clock, reports } = newBench();
   reports.answersToLose = 3;
   newReporter(log, clock, reports, 'first');
   const { meter } = newEntry(log, clock, 'entry');
@@ -135,9 +113,7 @@
 
 // The reporter's process stops answering in the middle of its work and another one takes over.
 test('a successor reports what its frozen predecessor would have, and nothing twice differently', async (t) => {
-  const log = newMemoryLog();
-  const clock = newManualClock();
-  const reports = new FakeReports();
+  const { log, clock, reports } = newBench();
   const first = newReporter(log, clock, reports, 'first');
   newReporter(log, clock, reports, 'second');
   const { meter } = newEntry(log, clock, 'entry');
@@ -153,11 +129,9 @@
 
 // An entry is killed between counting and writing. Without a copy elsewhere its usage is never billed.
 test('a killed host loses no usage that it has copied to a peer', async (t) => {
-  const log = newMemoryLog();
-  const clock = newManualClock();
-  const reports = new FakeReports();
+  const { log, clock, reports } = newBench();
   newReporter(log, clock, reports, 'first');
-  const peer = newHost(log, clock, 'peer');
+  const peer = newLogHost(log, clock, 'peer');
   const live = new Set(['entry', 'peer']);
   const keeper = newUsageKeeper({
     clock,
@@ -181,11 +155,9 @@
 
 // The peers take a slow host for dead and write its usage for it, while it goes on writing itself.
 test('usage written by the host and by its keeper counts once', async (t) => {
-  const log = newMemoryLog();
-  const clock = newManualClock();
-  const reports = new FakeReports();
+  const { log, clock, reports } = newBench();
   newReporter(log, clock, reports, 'first');
-  const peer = newHost(log, clock, 'peer');
+  const peer = newLogHost(log, clock, 'peer');
   const { follower, writer } = peer;
   const keeper = newUsageKeeper({ clock, follower, writer, isLive: () => false });
   keeper.run(peer.signal).catch(() => undefined);
@@ -200,9 +172,7 @@
 
 // The log is out over the end of a window. Reports may be late for it, but not wrong.
 test('an outage of the log makes reports late, never wrong', async (t) => {
-  const log = newMemoryLog();
-  const clock = newManualClock();
-  const reports = new FakeReports();
+  const { log, clock, reports } = newBench();
   newReporter(log, clock, reports, 'first');
   newReporter(log, clock, reports, 'second');
   const { meter } = newEntry(log, clock, 'entry');
@@ -218,9 +188,7 @@
 
 // A host was cut off while its window was closed and reported; its usage comes in afterwards.
 test('usage that comes after its window was closed is billed with the next window', async (t) => {
-  const log = newMemoryLog();
-  const clock = newManualClock();
-  const reports = new FakeReports();
+  const { log, clock, reports } = newBench();
   newReporter(log, clock, reports, 'first');
   const near = newEntry(log, clock, 'near');
   const cut = newEntry(log, clock, 'cut');
@@ -240,9 +208,7 @@
 
 // As above, but nobody calls any more: no further window would ever be closed to carry it.
 test('late usage is billed also when no other usage follows', async (t) => {
-  const log = newMemoryLog();
-  const clock = newManualClock();
-  const reports = new FakeReports();
+  const { log, clock, reports } = newBench();
   newReporter(log, clock, reports, 'first');
   const near = newEntry(log, clock, 'near');
   const cut = newEntry(log, clock, 'cut');
--- a/scripts/demo.js
+++ b/scripts/demo.js
@@ -6,6 +6,7 @@
  */
 import { parseArgs } from 'node:util';
 import { fetch } from 'undici';
+import { isWhole, keyOf, post } from '@cyclamengate/fakes/callers';
 import newProcesses, { sleep, waitUntil } from '@cyclamengate/fakes/newProcesses';
 
 const { values } = parseArgs({
@@ -38,23 +39,11 @@
 
 const USAGE_WINDOW_SECONDS = 5;
 const REQUESTS_PER_CUSTOMER = 20;
-const keyOf = (customer) => `cgk_demo-${customer}`;
 const say = (text) => process.stdout.write(`${text}\n`);
 const startedAt = performance.now();
 const deployment = DEPLOYMENTS[values.deployment];
 const processes = await newProcesses();
 
-const post = (url, customer, body, headers = {}) =>
-  fetch(url, {
-    method: 'POST',
-    headers: {
-      authorization: `Bearer ${keyOf(customer)}`,
-      'content-type': 'application/json',
-      ...headers,
-    },
-    body: JSON.stringify(body),
-  });
-
 const complete = async (entry, customer, index) => {
   const body = {
     model: deployment.model,
@@ -62,11 +51,7 @@
     max_tokens: 12,
     stream: true,
   };
-  const answer = await post(`${entry.url}/v1/completions`, customer, body);
-  const text = await answer.text();
-  if (process.env.DEMO_VERBOSE && !text.endsWith('[DONE]\n\n'))
-    say(`${answer.status} ${text.slice(-300)}`);
-  return answer.ok && text.endsWith('data: [DONE]\n\n');
+  return isWhole(await post(`${entry.url}/v1/completions`, customer, body));
 };
 
 const serveCustomers = async (entries) => {
--- a/scripts/naive.js
+++ b/scripts/naive.js
@@ -232,8 +232,8 @@
   [
     'only the log is read',
     'packages/coordination/dist/src/newRuntime.js',
-    'member ? peerAt(member.peerUrl).source : logSource',
-    'logSource',
+    '[...chosen, ...seeds]',
+    '[logSource]',
     'apps/control',
     '*from the platform alone*',
   ],
