--- a/apps/standin/src/faultSwitches.ts
+++ b/apps/standin/src/faultSwitches.ts
@@ -10,6 +10,9 @@
  * - `fail-swap`: a weight swap ends half way, with no version in force
  * - `cross-answers`: answers with another request's id
  * - `cut-answers`: ends an answer in good order before it is whole
+ * - `lag-load`: reports the load as it was `delayMs` ago
+ * - `late-events`: tells of cache events `delayMs` after they happened
+ * - `gap-events`: leaves out one cache event in three
  * - `none-available`: can start no more upstreams of this kind
  */
 export const faultSchema = z.enum([
@@ -21,6 +24,9 @@
   'fail-swap',
   'cross-answers',
   'cut-answers',
+  'lag-load',
+  'late-events',
+  'gap-events',
   'none-available',
 ]);
 
--- a/apps/standin/src/newEngineStandin.ts
+++ b/apps/standin/src/newEngineStandin.ts
@@ -7,12 +7,16 @@
 import { z } from 'zod';
 import type { EngineOptions } from './engineOptions.js';
 import { faulty, readJson } from './faulty.js';
+import newPrefixCache from './newPrefixCache.js';
 import type { Fault, FaultSwitch, FaultSwitches } from './faultSwitches.js';
 
 /** A prompt with this text crashes the engine that runs it. */
 export const CRASH_MARKER = 'CRASH-THE-ENGINE';
 /** Target of faults that the first upstream to come by takes. */
 export const ANY_UPSTREAM = 'any-upstream';
+const LOADS_KEPT = 1_024;
+/** With gaps switched on, one event of so many is never told. */
+const GAP_EVERY = 3;
 const PREFIX_CHARACTERS = 64;
 const PORTAL_DELAY_MS = 5;
 
@@ -43,7 +47,8 @@
   let fence = -1;
   const versions: Record<string, number> = {};
   const loading: Record<string, number> = {};
-  const cached = new Set<string>();
+  const cache = newPrefixCache(options.prefixesCached);
+  const loads: { at: number; active: number }[] = [{ at: -Infinity, active: 0 }];
   const orders: z.infer<typeof weightsSchema>[] = [];
   const served: { requestId: string; customer: string; headers: unknown; path: string }[] = [];
 
@@ -60,9 +65,31 @@
     options.onCrash();
   };
 
+  const setActive = (count: number): void => {
+    active = count;
+    loads.push({ at: performance.now(), active });
+    if (loads.length > LOADS_KEPT) loads.shift();
+  };
+
+  /** The load as it was some time ago, when lagging is switched on. */
+  const reportedActive = (): number => {
+    const lag = useFault('lag-load');
+    if (!lag) return active;
+    const until = performance.now() - lag.delayMs;
+    return loads.findLast(({ at }) => at <= until)?.active ?? 0;
+  };
+
+  const readEvents = async (request: HandlerRequest) => {
+    const from = Number((request.query as { from?: string }).from ?? 0);
+    const events = cache.read(from, useFault('late-events')?.delayMs ?? 0);
+    const hasGaps = useFault('gap-events') !== null;
+    const told = events.filter(({ sequence }) => !hasGaps || sequence % GAP_EVERY !== 0);
+    return { status: 200, body: { events: told } };
+  };
+
   const status = () => ({
     id,
-    active,
+    active: reportedActive(),
     slots,
     isLeaving,
     versions: { ...versions },
@@ -70,12 +97,8 @@
   });
 
   const prefill = async (prompt: string): Promise<void> => {
-    const prefix = prompt.slice(0, PREFIX_CHARACTERS);
-    if (!cached.has(prefix)) await sleep(options.prefillMs);
-    cached.delete(prefix);
-    cached.add(prefix);
-    const [oldest] = cached;
-    if (cached.size > options.prefixesCached && oldest !== undefined) cached.delete(oldest);
+    const isCached = cache.use(prompt.slice(0, PREFIX_CHARACTERS));
+    if (!isCached) await sleep(options.prefillMs);
   };
 
   const newestVersion = (): number => Math.max(0, ...Object.values(versions));
@@ -122,11 +145,11 @@
     const { requestId, customer } = wanted;
     served.push({ requestId, customer, headers: request.headers, path: request.path });
     if (isLeaving || active >= slots * 2) return { status: 503, body: { error: 'not run' } };
-    active += 1;
+    setActive(active + 1);
     try {
       await stream(wanted, request, response);
     } finally {
-      active -= 1;
+      setActive(active - 1);
     }
     return null;
   };
@@ -172,6 +195,7 @@
     '/v1/status',
     faulty(faults, `${id}-status`, async () => ({ status: 200, body: status() })),
   );
+  app.get('/v1/events', faulty(faults, `${id}-events`, readEvents));
   app.post('/v1/generate', faulty(faults, `${id}-generate`, generate));
   app.post('/v1/weights', faulty(faults, `${id}-weights`, order));
   app.get(
--- a/scripts/experiments.js
+++ b/scripts/experiments.js
@@ -2,7 +2,7 @@
  * Measures decisions against their baselines, side by side in one run, and writes the figures to
  * docs/measurements/. Needs a build.
  *
- * node scripts/experiments.js [overhead] [throughput] [fairness] [choice]
+ * node scripts/experiments.js [overhead] [throughput] [fairness] [choice] [takeover]
  */
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
@@ -261,7 +261,43 @@
   await save('choice', figures);
 };
 
-const EXPERIMENTS = { overhead, throughput, fairness, choice };
+const TAKEOVERS = 3;
+
+/** Time until the lease of a killed control process is another's: the domain has no orders meanwhile. */
+const takeover = async () => {
+  const processes = await newProcesses();
+  try {
+    const platform = await processes.startPlatform();
+    const entry = await processes.startDaemon('entry', 'entry-1', 'argos-c', platform.url);
+    const start = (index) =>
+      processes.startDaemon('control', `control-${index}`, 'argos-c', platform.url, {
+        seeds: [entry.peerUrl],
+      });
+    const readHolder = async () => {
+      const status = await processes.run('cli', ['status', '--log', platform.url, '--json']);
+      return JSON.parse(status.text).leases.reports?.holder ?? '';
+    };
+    const controls = [await start(0), await start(1)];
+    await waitUntil('a holder', async () => (await readHolder()) !== '');
+    const times = [];
+    for (let count = 0; count < TAKEOVERS; count += 1) {
+      const holder = await readHolder();
+      const index = controls.findIndex(({ id }) => holder.startsWith(`${id}-`));
+      const killedAt = performance.now();
+      await processes.end(controls[index].child, 'SIGKILL');
+      await waitUntil('a successor', async () => (await readHolder()) !== holder);
+      times.push(performance.now() - killedAt);
+      controls[index] = await start(count + 2);
+      await sleep(3_000);
+    }
+    say(`takeover after a kill, ms: ${times.map((ms) => ms.toFixed(0)).join(', ')}`);
+    await save('takeover', { times });
+  } finally {
+    await processes.stopAll();
+  }
+};
+
+const EXPERIMENTS = { overhead, throughput, fairness, choice, takeover };
 const wanted = process.argv.slice(2);
 for (const name of wanted.length > 0 ? wanted : Object.keys(EXPERIMENTS)) {
   await EXPERIMENTS[name]();
