--- a/apps/standin/src/newFleetStandin.ts
+++ b/apps/standin/src/newFleetStandin.ts
@@ -25,14 +25,14 @@
   listLagMs: number;
 }
 
-export interface Running {
+export interface RunningUpstream {
   status: UpstreamStatus;
   engine: EngineStandin;
 }
 
 /** The platform's order interface, host list and weight store, with the upstreams they stand for. */
 const newFleetStandin = ({ faults, engine, startMs, listLagMs }: FleetOptions) => {
-  const running = new Map<string, Running>();
+  const running = new Map<string, RunningUpstream>();
   const fences = new Map<string, number>();
   /** Every order received, refused ones too. */
   const received: UpstreamOrder[] = [];
@@ -93,7 +93,7 @@
     publish();
   };
 
-  const stop = ({ status, engine: leaving }: Running, inMs: number): void => {
+  const stop = ({ status, engine: leaving }: RunningUpstream, inMs: number): void => {
     status.state = 'leaving';
     leaving.leave();
     publish();
--- a/packages/coordination/src/newRuntime.ts
+++ b/packages/coordination/src/newRuntime.ts
@@ -1,6 +1,3 @@
-import { createServer } from 'node:http';
-import type { Server } from 'node:http';
-import type { Socket } from 'node:net';
 import type Clock from '@cyclamengate/common/Clock';
 import type { Log } from '@cyclamengate/common/newLogger';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
@@ -11,7 +8,6 @@
 import type { HostSettings } from '@cyclamengate/settings/hostSettings';
 import newEffectiveSettings from '@cyclamengate/settings/newEffectiveSettings';
 import type { EffectiveSettings } from '@cyclamengate/settings/newEffectiveSettings';
-import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import chooseSources from './chooseSources.js';
 import type { Exchange } from './exchange.js';
 import followLog from './followLog.js';
@@ -25,8 +21,8 @@
 import newMembership from './newMembership.js';
 import newPeer from './newPeer.js';
 import type { Peer } from './newPeer.js';
+import newPeerServer from './newPeerServer.js';
 import newSuspects from './newSuspects.js';
-import { newPeerRouter } from './peerRouter.js';
 import type { PeerService } from './peerRouter.js';
 import type RecordSource from './RecordSource.js';
 
@@ -49,12 +45,6 @@
   readPayload?: PeerService['readPayload'];
 }
 
-const startServer = (server: Server, host: string, port: number): Promise<void> =>
-  new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-
 /** What every process of the system has: the shared state, a writer, its peers, leases. */
 const newRuntime = (options: RuntimeOptions) => {
   const { clock, log, metrics, tasks, settings, role, platformLog } = options;
@@ -152,27 +142,11 @@
     readPayload: options.readPayload ?? (() => null),
   };
 
-  const server = createServer(
-    createHTTPHandler({ router: newPeerRouter(service), basePath: '/trpc/' }),
-  );
-  const sockets = new Set<Socket>();
-  let closedBytes = 0;
-  server.on('connection', (socket) => {
-    sockets.add(socket);
-    socket.once('close', () => {
-      sockets.delete(socket);
-      closedBytes += socket.bytesRead + socket.bytesWritten;
-    });
-  });
-  metrics.gauge('peer_bytes', () =>
-    [...sockets].reduce(
-      (sum, { bytesRead, bytesWritten }) => sum + bytesRead + bytesWritten,
-      closedBytes,
-    ),
-  );
+  const server = newPeerServer(service);
+  metrics.gauge('peer_bytes', server.bytes);
 
   const start = async (): Promise<void> => {
-    await startServer(server, settings.peer.host, settings.peer.port);
+    await server.listen(settings.peer.host, settings.peer.port);
     tasks.start('log writer', writer.run);
     tasks.start('log follower', (signal) =>
       followLog(
@@ -242,10 +216,7 @@
     onSettings: (listener: (settings: EffectiveSettings) => void): void => {
       settingsListeners.add(listener);
     },
-    close: (): void => {
-      server.close();
-      server.closeAllConnections();
-    },
+    close: server.close,
   };
 };
 
