--- a/scripts/demo.js
+++ b/scripts/demo.js
@@ -37,6 +37,9 @@
   },
 };
 
+// A reader that goes away must not end the demo before it has stopped its processes.
+process.stdout.on('error', () => undefined);
+
 const USAGE_WINDOW_SECONDS = 5;
 const REQUESTS_PER_CUSTOMER = 20;
 const say = (text) => process.stdout.write(`${text}\n`);
