Count engines ordered in the same round; make no sample of unlabelled tokens

Found by reading the whole change. Since engines are looked at once a round, a second trainer did not see the first one's orders, and together they could have all engines load. A streamed token without a version was left out of its sample without a word. The pool's name in upstream orders is written in one place.

--- a/packages/rollouts/src/newEntrySampleMaker.ts
+++ b/packages/rollouts/src/newEntrySampleMaker.ts
@@ -38,7 +38,9 @@
       const choice = chunk?.ok ? chunk.val.choices[0] : undefined;
       const version = chunk?.ok ? chunk.val.version : undefined;
       if (choice && choice.finish_reason !== null) isWhole = true;
-      else if (choice && typeof version === 'number') {
+      else if (choice) {
+        // A token of unknown origin can't be labelled, and left out it would make the sample lie.
+        if (typeof version !== 'number') return Err('failed');
         tokens.push(choice.text);
         segments.add(version);
       }
--- a/packages/rollouts/src/rolloutWeights.ts
+++ b/packages/rollouts/src/rolloutWeights.ts
@@ -85,12 +85,18 @@
   };
 
   /** @returns whether some engine is still not at the trainer's version */
-  const bringUp = async (trainer: string, version: number, seen: Seen[]): Promise<boolean> => {
+  const bringUp = async (
+    trainer: string,
+    version: number,
+    seen: Seen[],
+    busy: Set<string>,
+  ): Promise<boolean> => {
     const missing = seen.filter(({ status }) => status.versions[trainer] !== version);
-    const behind = missing.filter(({ status }) => status.loading[trainer] === undefined);
-    const loading = seen.filter(({ status }) => Object.keys(status.loading).length > 0).length;
+    const behind = missing.filter(({ upstream }) => !busy.has(upstream.id));
+    const loading = seen.filter(({ upstream }) => busy.has(upstream.id)).length;
     const room = Math.max(1, Math.floor(seen.length * LOADING_PART)) - loading;
     const chosen = behind.slice(0, Math.max(0, room));
+    chosen.forEach(({ upstream }) => busy.add(upstream.id));
     await Promise.all(chosen.map((one) => order(one, trainer, version)));
     return missing.length > 0;
   };
@@ -99,12 +105,17 @@
   const runRound = async (): Promise<boolean> => {
     const trainers = [...readSettings().trainers.values()];
     const seenByService = new Map<string, Seen[]>();
+    // Engines that load already, or were ordered to for another trainer of this round.
+    const busy = new Set<string>();
     let isBehind = false;
     for (const { id, service } of trainers) {
       const version = follower.state().trainers[id]?.version ?? 0;
       const seen = version > 0 ? (seenByService.get(service) ?? (await look(service))) : [];
       seenByService.set(service, seen);
-      if (await bringUp(id, version, seen)) isBehind = true;
+      seen
+        .filter(({ status }) => Object.keys(status.loading).length > 0)
+        .forEach(({ upstream }) => busy.add(upstream.id));
+      if (await bringUp(id, version, seen, busy)) isBehind = true;
     }
     return isBehind;
   };
--- a/packages/upstreams/src/orderUpstreams.ts
+++ b/packages/upstreams/src/orderUpstreams.ts
@@ -35,8 +35,10 @@
   onUpstreams: (upstreams: UpstreamStatus[]) => void;
 }
 
-const poolName = (service: string, { failureDomain, kind }: PoolSettings): string =>
-  `${service} ${failureDomain} ${kind}`;
+const poolName = (
+  service: string,
+  { failureDomain, kind }: Pick<PoolSettings, 'failureDomain' | 'kind'>,
+): string => `${service} ${failureDomain} ${kind}`;
 
 /**
  * Orders the upstreams of one failure domain by demand, while this process holds its lease.
@@ -59,7 +61,10 @@
     upstreams
       .filter(({ reclaimed }) => reclaimed)
       .forEach(({ service, kind }) =>
-        avoidUntil.set(`${service} ${failureDomain} ${kind}`, clock.now() + AVOID_RECLAIMED_MS),
+        avoidUntil.set(
+          poolName(service, { failureDomain, kind }),
+          clock.now() + AVOID_RECLAIMED_MS,
+        ),
       );
 
   const countRunning = (
