--- /dev/null
+++ b/apps/host/src/followPlatform.ts
@@ -0,0 +1,92 @@
+import restoreNamedVersion from '@cyclamengate/adapter/restoreNamedVersion';
+import restoreOperatorSettings from '@cyclamengate/adapter/restoreOperatorSettings';
+import restoreUpstream from '@cyclamengate/adapter/restoreUpstream';
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { Directory } from '@cyclamengate/engines/newDirectory';
+import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
+import newKeyedFollower from '@cyclamengate/store/newKeyedFollower';
+import type Store from '@cyclamengate/store/Store';
+import type { KeyedRecord } from '@cyclamengate/store/Store';
+
+const OPERATOR_TOPIC = 'keyed.op';
+const UPSTREAMS_TOPIC = 'keyed.servers';
+const SETTINGS_KEY = 'config';
+const VERSION_PREFIX = 'version/';
+/** The operator's changes must be in force within two seconds; upstreams write every 1.2 s. */
+const SETTINGS_PACE_MS = 40;
+const UPSTREAMS_PACE_MS = 80;
+
+export interface FollowPlatformOptions {
+  clock: Clock;
+  log: EventLog;
+  store: Store;
+  view: SettingsView;
+  directory: Directory;
+}
+
+/** Keeps the operator's settings, the trainers' named versions and the list of upstreams current. */
+const followPlatform = ({ clock, log, store, view, directory }: FollowPlatformOptions) => {
+  const versions = new Map<string, number>();
+
+  const applySettings = (value: Buffer, offset: number): void => {
+    const settings = restoreOperatorSettings(value);
+    if (settings.ok) view.put(settings.val);
+    else log.error('settings.unreadable', { offset, problems: settings.val.slice(0, 5) });
+  };
+
+  const applyVersion = (value: Buffer, offset: number): void => {
+    const named = restoreNamedVersion(value);
+    if (!named) {
+      log.error('version.unreadable', { offset });
+      return;
+    }
+    const newest = Math.max(named.version, versions.get(named.model) ?? 0);
+    versions.set(named.model, newest);
+    log.info('version.named', { ...named, offset });
+  };
+
+  const applyOperator = ({ key, value, offset }: KeyedRecord): void => {
+    if (value === null) return;
+    if (key === SETTINGS_KEY) applySettings(value, offset);
+    else if (key.startsWith(VERSION_PREFIX)) applyVersion(value, offset);
+  };
+
+  const applyUpstream = ({ key, value }: KeyedRecord): void => {
+    if (value === null) {
+      directory.drop(key);
+      return;
+    }
+    const entry = restoreUpstream(key, value);
+    if (entry.ok) directory.put(entry.val);
+    else log.warn('upstream.unreadable', { upstream: key, problems: entry.val.slice(0, 3) });
+  };
+
+  const operator = newKeyedFollower({
+    clock,
+    log,
+    store,
+    topic: OPERATOR_TOPIC,
+    paceMs: SETTINGS_PACE_MS,
+    apply: applyOperator,
+  });
+  const upstreams = newKeyedFollower({
+    clock,
+    log,
+    store,
+    topic: UPSTREAMS_TOPIC,
+    paceMs: UPSTREAMS_PACE_MS,
+    apply: applyUpstream,
+    onBack: directory.storeIsBack,
+  });
+
+  return {
+    run: async (signal: AbortSignal): Promise<void> => {
+      await Promise.all([operator.run(signal), upstreams.run(signal)]);
+    },
+    /** The newest version of a model that its trainer has named; 1 before the first. */
+    namedVersion: (model: string): number => versions.get(model) ?? 1,
+  };
+};
+
+export default followPlatform;
--- /dev/null
+++ b/apps/host/src/newCallerHandler.ts
@@ -0,0 +1,163 @@
+import type { ServerResponse } from 'node:http';
+import { refusalHeaders, restoreCallerRequest } from '@cyclamengate/adapter/callerRequest';
+import type { CallerRequest } from '@cyclamengate/adapter/callerRequest';
+import type Clock from '@cyclamengate/common/Clock';
+import type { HandlerRequest } from '@cyclamengate/common/handler';
+import { sendJson } from '@cyclamengate/common/handler';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { Metrics } from '@cyclamengate/common/newMetrics';
+import { readBody } from '@cyclamengate/common/readBody';
+import { findCaller, findRoute, pickService } from '@cyclamengate/gateway/findRoute';
+import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
+import type { PlainRelay, RelayedRequest, RelayOutcome } from '@cyclamengate/gateway/newPlainRelay';
+import type { StreamRelay } from '@cyclamengate/gateway/newStreamRelay';
+import type { Route } from '@cyclamengate/gateway/operatorSettings';
+import { notRun, rejected } from '@cyclamengate/gateway/refusal';
+import type { Refusal } from '@cyclamengate/gateway/refusal';
+import type { UsageMeter } from '@cyclamengate/hosts/newUsageMeter';
+import type { BatchHandlers } from './newBatchHandlers.js';
+
+/** A host that has no settings yet has them within a second, or its store is away. */
+const NO_SETTINGS_RETRY_MS = 500;
+const BODY_TIMEOUT_MS = 30_000;
+
+export interface CallerHandlerOptions {
+  clock: Clock;
+  log: EventLog;
+  metrics: Metrics;
+  meter: UsageMeter;
+  relay: PlainRelay;
+  relayStream: StreamRelay;
+  batches: BatchHandlers;
+  readSettings: () => EffectiveSettings | null;
+  isLeaving: () => boolean;
+}
+
+/** Serves callers: finds the route and the customer, and gets an upstream's answer. */
+const newCallerHandler = (options: CallerHandlerOptions) => {
+  const { clock, log, metrics, meter, relay, relayStream, batches, readSettings } = options;
+
+  const refuse = (response: ServerResponse, request: CallerRequest, refusal: Refusal): void => {
+    metrics.count(`requests_refused_${refusal.code.replaceAll('-', '_')}`);
+    const headers = refusalHeaders(request.requestId, refusal);
+    sendJson(response, refusal.status, { error: refusal.code }, headers);
+  };
+
+  const noteRefusal = (request: CallerRequest, refusal: Refusal, version?: number): void =>
+    log.info('request.refused', {
+      requestId: request.requestId,
+      hostName: request.hostName,
+      settingsVersion: version ?? null,
+      ...refusal,
+    });
+
+  /** Ends the upstream's work when the caller goes away. */
+  const watchCaller = (response: ServerResponse): AbortController => {
+    const controller = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) controller.abort('caller gone');
+    });
+    return controller;
+  };
+
+  const sendAnswer = (response: ServerResponse, outcome: RelayOutcome, request: CallerRequest) => {
+    if (response.destroyed) return;
+    if (outcome.type === 'refusal') {
+      refuse(response, request, outcome.refusal);
+      return;
+    }
+    const { status, headers, body } = outcome.answer;
+    response.writeHead(status, {
+      ...headers,
+      'attempt-id': request.requestId ?? '',
+      'content-length': String(body.length),
+    });
+    response.end(body);
+  };
+
+  const deadlineOf = (route: Route, request: CallerRequest, arrivedAt: number): number =>
+    arrivedAt + Math.min(route.timeoutMs, request.patienceMs ?? Number.POSITIVE_INFINITY);
+
+  const relayRequest = async (
+    request: CallerRequest,
+    response: ServerResponse,
+    route: Route,
+    customer: string | null,
+    body: Buffer,
+    arrivedAt: number,
+  ): Promise<void> => {
+    const service = pickService(route, Math.random());
+    if (service === null) {
+      refuse(response, request, notRun('no-service', NO_SETTINGS_RETRY_MS));
+      return;
+    }
+    const relayed: RelayedRequest = {
+      requestId: request.requestId ?? '',
+      method: request.method,
+      path: request.path,
+      hostName: request.hostName,
+      headers: request.headers,
+      body,
+      customer,
+      lastEventId: request.lastEventId,
+      service,
+      isIdempotent: route.isStream ? route.isResumable : route.kind === 'idempotent',
+      mostUpstreams: route.mostUpstreams,
+      deadline: deadlineOf(route, request, arrivedAt),
+    };
+    const controller = watchCaller(response);
+    const beganAt = clock.wallTime();
+    const outcome = route.isStream
+      ? await relayStream(relayed, response, controller.signal)
+      : await relay(relayed, controller.signal);
+    const hasRun = outcome.type === 'answer' || outcome.hasRun;
+    if (hasRun && customer !== null) meter.count(customer, beganAt);
+    if (!response.headersSent) sendAnswer(response, outcome, request);
+    const tookMs = clock.now() - arrivedAt;
+    metrics.observe('request', tookMs);
+    metrics.count(`requests_${outcome.type === 'answer' ? 'answered' : 'failed'}`);
+    log.info('request.done', {
+      requestId: request.requestId,
+      route: route.name,
+      customer,
+      outcome: outcome.type === 'answer' ? outcome.answer.status : outcome.refusal.code,
+      upstream: outcome.type === 'answer' ? outcome.upstream : null,
+      upstreams: outcome.upstreams,
+      tookMs: Math.round(tookMs),
+      isCallerGone: controller.signal.aborted,
+    });
+  };
+
+  const serve = async (request: HandlerRequest, response: ServerResponse): Promise<void> => {
+    const arrivedAt = clock.now();
+    const caller = restoreCallerRequest(request);
+    if (options.isLeaving()) response.setHeader('connection', 'close');
+    const effective = readSettings();
+    const route = effective && findRoute(effective, caller.hostName, caller.path);
+    const who = effective && route ? findCaller(effective, route, caller.key) : null;
+    const limitBytes = effective?.settings.limits.mostBodyBytes ?? 0;
+    // The body is read before a refusal too: closing with unread bytes would reset the connection.
+    const body = await readBody(request, Math.max(limitBytes, 65_536), BODY_TIMEOUT_MS);
+    const version = effective?.settings.version;
+    const reject = (refusal: Refusal): void => {
+      noteRefusal(caller, refusal, version);
+      refuse(response, caller, refusal);
+    };
+    if (!effective) reject(notRun('no-settings', NO_SETTINGS_RETRY_MS));
+    else if (!route) reject(rejected(404, 'no-route'));
+    else if (!who) reject(rejected(401, 'unknown-key'));
+    else if (!body.ok) reject(rejected(body.val === 'too-large' ? 413 : 408, body.val));
+    else {
+      const customer = who.type === 'customer' ? who.customer.name : null;
+      const isBatch = route.kind === 'batch' && caller.method === 'POST';
+      if (isBatch) await batches.accept(caller, response, route, customer, body.val);
+      else await relayRequest(caller, response, route, customer, body.val, arrivedAt);
+    }
+  };
+
+  return { serve };
+};
+
+export type CallerHandler = ReturnType<typeof newCallerHandler>;
+
+export default newCallerHandler;
--- /dev/null
+++ b/apps/host/src/newCoordination.ts
@@ -0,0 +1,202 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import rendezvousRank from '@cyclamengate/common/rendezvousRank';
+import { restore } from '@cyclamengate/common/restore';
+import { coordinationRecordSchema } from '@cyclamengate/hosts/coordinationRecord';
+import type { CoordinationRecord } from '@cyclamengate/hosts/coordinationRecord';
+import newLeaseKeeper from '@cyclamengate/hosts/newLeaseKeeper';
+import type { LeaseKeeper } from '@cyclamengate/hosts/newLeaseKeeper';
+import newLeases from '@cyclamengate/hosts/newLeases';
+import newMembers from '@cyclamengate/hosts/newMembers';
+import newUsageCounts from '@cyclamengate/hosts/newUsageCounts';
+import type { UsageMeter } from '@cyclamengate/hosts/newUsageMeter';
+import newStoreWriter from '@cyclamengate/store/newStoreWriter';
+import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
+import newTopicFollower from '@cyclamengate/store/newTopicFollower';
+import type Store from '@cyclamengate/store/Store';
+import type { StoredRecord } from '@cyclamengate/store/Store';
+
+const TOPIC = 'coordination';
+/** Least time between two reads: bounds the calls of many hosts. */
+const PACE_MS = 60;
+/** Heartbeats of few hosts come so often; the more hosts, the rarer, to bound what all read. */
+const SHORTEST_HEARTBEAT_MS = 500;
+const HEARTBEAT_MS_A_HOST = 15;
+/** A host is taken for gone after this many intervals without a heartbeat. */
+const MISSED_HEARTBEATS = 3.2;
+/** A view older than this says nothing about who holds what. */
+const FRESH_MS = 1_500;
+/** Hosts of other failure domains come after so many of the domain's own. */
+const OTHER_DOMAIN_RANK = 6;
+
+export interface CoordinationOptions {
+  clock: Clock;
+  log: EventLog;
+  store: Store;
+  host: string;
+  incarnation: string;
+  failureDomain: string;
+  leaseMs: number;
+  meter: UsageMeter;
+  readRunning: () => Record<string, number>;
+  isLeaving: () => boolean;
+}
+
+const parse = (body: Buffer): unknown => {
+  try {
+    return JSON.parse(body.toString()) as unknown;
+  } catch {
+    return null;
+  }
+};
+
+/** What hosts agree on through the store: who is there, who holds which lease, usage. */
+const newCoordination = (options: CoordinationOptions) => {
+  const { clock, log, store, host, incarnation, failureDomain, leaseMs, meter } = options;
+  const { readRunning, isLeaving } = options;
+  let memberCount = 1;
+
+  const heartbeatMs = (): number =>
+    Math.max(SHORTEST_HEARTBEAT_MS, memberCount * HEARTBEAT_MS_A_HOST);
+
+  const leases = newLeases(clock, leaseMs);
+  const members = newMembers(clock, () => heartbeatMs() * MISSED_HEARTBEATS);
+  const usage = newUsageCounts();
+
+  const applyRecord = (record: CoordinationRecord, offset: number): void => {
+    switch (record.type) {
+      case 'heartbeat':
+        members.apply(record);
+        usage.applyHeartbeat(record);
+        return;
+      case 'lease':
+        if (!leases.apply(record, offset) && record.incarnation === incarnation) {
+          log.info('lease.claim-void', { subject: record.subject, offset });
+        }
+        return;
+      case 'usage-close':
+        usage.applyClose(record.window, record.counts);
+        return;
+      case 'usage-reported':
+        usage.applyReported(record.window);
+        return;
+      default:
+    }
+  };
+
+  const apply = (records: StoredRecord[]): void =>
+    records.forEach(({ offset, body }) => {
+      const restored = restore(coordinationRecordSchema, parse(body));
+      if (restored.ok) applyRecord(restored.val, offset);
+      else log.warn('coordination.unreadable', { offset, problems: restored.val.slice(0, 3) });
+    });
+
+  const follower = newTopicFollower({ clock, log, store, topic: TOPIC, paceMs: PACE_MS, apply });
+  const writer = newStoreWriter({ clock, log, store, topic: TOPIC, producer: incarnation });
+
+  const write = (record: CoordinationRecord, deadline: number): Promise<WriteOutcome> =>
+    writer.write([Buffer.from(JSON.stringify(record))], deadline);
+
+  const isFresh = (): boolean => clock.now() < follower.freshAt() + FRESH_MS;
+
+  const heartbeat = (): Promise<WriteOutcome> =>
+    write(
+      {
+        type: 'heartbeat',
+        host,
+        incarnation,
+        failureDomain,
+        isLeaving: isLeaving(),
+        running: readRunning(),
+        usage: meter.recent(),
+        countedThrough: meter.windowNow() - 1,
+      },
+      clock.now() + heartbeatMs(),
+    );
+
+  const noteMembers = (() => {
+    let before = '';
+    return (): void => {
+      const names = members.live().map((member) => member.host);
+      memberCount = Math.max(1, names.length);
+      const now = names.join(' ');
+      if (now !== before) log.info('members.changed', { count: names.length, hosts: now });
+      before = now;
+    };
+  })();
+
+  const beat = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      const next = clock.now() + heartbeatMs();
+      await heartbeat();
+      noteMembers();
+      await clock.sleepUntil(next, signal);
+    }
+  };
+
+  const ranks = new Map<string, string[]>();
+  let rankedFor = '';
+
+  /** Live hosts in the order in which they come for a subject; the same on every host. */
+  const rank = (subject: string): string[] => {
+    const names = members.live().map((member) => member.host);
+    const key = names.join(' ');
+    if (key !== rankedFor) ranks.clear();
+    rankedFor = key;
+    const known = ranks.get(subject);
+    if (known) return known;
+    const ranked = rendezvousRank(subject, names);
+    ranks.set(subject, ranked);
+    return ranked;
+  };
+
+  /** This host's place for a subject of a failure domain, whose own hosts come first. */
+  const placeFor = (subject: string, domain: string | null): number | null => {
+    if (isLeaving() || !isFresh()) return null;
+    const ranked = rank(subject);
+    const isNear = domain === null || domain === failureDomain;
+    const place = ranked.indexOf(host);
+    if (place === -1) return null;
+    return isNear ? place : place + OTHER_DOMAIN_RANK;
+  };
+
+  const newKeeper = (subject: string, domain: string | null): LeaseKeeper =>
+    newLeaseKeeper({
+      clock,
+      log,
+      leases,
+      subject,
+      host,
+      incarnation,
+      termMs: leaseMs,
+      write,
+      rank: () => placeFor(subject, domain),
+      isFresh,
+    });
+
+  return {
+    members,
+    usage,
+    write,
+    isFresh,
+    newKeeper,
+    heartbeat,
+    isFirst: (subject: string): boolean => isFresh() && rank(subject)[0] === host,
+    /** Requests that other hosts run at each upstream, by their newest heartbeats. */
+    othersRunning: (): Record<string, number> =>
+      members
+        .heard()
+        .filter((member) => member.host !== host)
+        .reduce<Record<string, number>>((sum, { running }) => {
+          Object.entries(running).forEach(([upstream, count]) => {
+            sum[upstream] = (sum[upstream] ?? 0) + count;
+          });
+          return sum;
+        }, {}),
+    tasks: { follow: follower.run, beat },
+  };
+};
+
+export type Coordination = ReturnType<typeof newCoordination>;
+
+export default newCoordination;
--- /dev/null
+++ b/apps/host/src/newDuties.ts
@@ -0,0 +1,113 @@
+import { newHttpUsageReports } from '@cyclamengate/adapter/newDutyCalls';
+import newHttpWeightOrders from '@cyclamengate/adapter/newHttpWeightOrders';
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import loadWeights from '@cyclamengate/engines/loadWeights';
+import type { DueLoad } from '@cyclamengate/engines/loadWeights';
+import type { Directory } from '@cyclamengate/engines/newDirectory';
+import planHomes from '@cyclamengate/engines/planHomes';
+import { versionOf } from '@cyclamengate/engines/upstreamEntry';
+import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
+import reportWindows from '@cyclamengate/hosts/reportWindows';
+import type { Coordination } from './newCoordination.js';
+
+/** Engines of one failure domain that load at a time; all domains together load two or three. */
+const LOADS_AT_ONCE = 1;
+
+export interface DutiesOptions {
+  clock: Clock;
+  log: EventLog;
+  host: string;
+  failureDomain: string;
+  /** Of the platform's interface for reports and orders. */
+  address: string;
+  windowMs: number;
+  coordination: Coordination;
+  newKeeper: Coordination['newKeeper'];
+  directory: Directory;
+  readSettings: () => EffectiveSettings | null;
+  namedVersion: (model: string) => number;
+}
+
+/** What one host does for all at a time, under leases: usage reports, and orders to engines. */
+const newDuties = (options: DutiesOptions) => {
+  const { clock, log, host, failureDomain, address, windowMs, coordination } = options;
+  const { newKeeper, directory, readSettings, namedVersion } = options;
+  const usageLease = newKeeper('usage', null);
+  const enginesLease = newKeeper(`engines/${failureDomain}`, failureDomain);
+
+  /** Loads that engines of this failure domain need, those that are furthest behind first. */
+  const findDue = (): DueLoad[] => {
+    const settings = readSettings()?.settings;
+    if (!settings) return [];
+    return settings.services.flatMap((service) => {
+      const engines = directory.all(service.name).filter(({ isDraining }) => !isDraining);
+      const homes = planHomes(
+        service.models,
+        engines.map(({ id }) => id),
+      );
+      const isSingleVersion = settings.routes.some(
+        (route) =>
+          route.isSingleVersion && route.splits.some((split) => split.service === service.name),
+      );
+      return engines
+        .filter((entry) => entry.failureDomain === failureDomain)
+        .flatMap((entry) =>
+          service.models
+            .filter((model) => homes.get(model)?.has(entry.id))
+            .map((model) => ({ entry, model, version: namedVersion(model) }))
+            .filter(({ model, version }) => versionOf(entry, model) < version)
+            .map((due) => ({ ...due, mustWaitForRuns: isSingleVersion })),
+        )
+        .sort(
+          (left, right) =>
+            right.version -
+            versionOf(right.entry, right.model) -
+            (left.version - versionOf(left.entry, left.model)),
+        );
+    });
+  };
+
+  const run = async (signal: AbortSignal): Promise<void> => {
+    await Promise.all([
+      usageLease.run(signal),
+      enginesLease.run(signal),
+      reportWindows(
+        {
+          clock,
+          log,
+          host,
+          windowMs,
+          lease: usageLease,
+          members: coordination.members,
+          usage: coordination.usage,
+          reports: newHttpUsageReports(address),
+          write: coordination.write,
+        },
+        signal,
+      ),
+      loadWeights(
+        {
+          clock,
+          log,
+          host,
+          orders: newHttpWeightOrders(),
+          hold: enginesLease.hold,
+          findDue,
+          find: directory.find,
+          mostAtOnce: LOADS_AT_ONCE,
+        },
+        signal,
+      ),
+    ]);
+  };
+
+  return {
+    run,
+    resign: async (): Promise<void> => {
+      await Promise.all([usageLease.resign(), enginesLease.resign()]);
+    },
+  };
+};
+
+export default newDuties;
--- /dev/null
+++ b/apps/host/src/newHost.ts
@@ -0,0 +1,184 @@
+import newHttpStore from '@cyclamengate/adapter/newHttpStore';
+import newHttpUpstreamClient from '@cyclamengate/adapter/newHttpUpstreamClient';
+import newSseReader from '@cyclamengate/adapter/newSseReader';
+import newBatchRunner from '@cyclamengate/batches/newBatchRunner';
+import newItemScorer from '@cyclamengate/batches/newItemScorer';
+import newEventLog from '@cyclamengate/common/newEventLog';
+import newId from '@cyclamengate/common/newId';
+import newMetrics from '@cyclamengate/common/newMetrics';
+import newSystemClock from '@cyclamengate/common/newSystemClock';
+import newTaskGroup from '@cyclamengate/common/newTaskGroup';
+import type { Running } from '@cyclamengate/common/startProgram';
+import newDirectory from '@cyclamengate/engines/newDirectory';
+import newHealth from '@cyclamengate/engines/newHealth';
+import newLoads from '@cyclamengate/engines/newLoads';
+import newCandidates from '@cyclamengate/gateway/newCandidates';
+import newPlainRelay from '@cyclamengate/gateway/newPlainRelay';
+import newSettingsView from '@cyclamengate/gateway/newSettingsView';
+import newStreamRelay from '@cyclamengate/gateway/newStreamRelay';
+import newUsageMeter from '@cyclamengate/hosts/newUsageMeter';
+import followPlatform from './followPlatform.js';
+import type { HostSettings } from './hostSettings.js';
+import newBatchHandlers from './newBatchHandlers.js';
+import newBatchStore from './newBatchStore.js';
+import newCallerHandler from './newCallerHandler.js';
+import newCoordination from './newCoordination.js';
+import newDuties from './newDuties.js';
+import newServers from './newServers.js';
+
+const MS_PER_SECOND = 1_000;
+/** A view of the batches older than this may lack an end; work is not started on it. */
+const FRESH_TO_START_MS = 1_800;
+/** The balancer sends new connections for up to two seconds after the host is no longer ready. */
+const LEAVING_MS = 3_000;
+/** What is left of the time to stop when the process ends by itself. */
+const STOP_RESERVE_MS = 700;
+const CHECK_OPEN_MS = 50;
+
+/** One host: callers, batches, and the duties that leases give to it. */
+const newHost = (settings: HostSettings) => {
+  const { host, failureDomain, terms } = settings;
+  const incarnation = newId(host);
+  const clock = newSystemClock();
+  const log = newEventLog(host);
+  const metrics = newMetrics();
+  const store = newHttpStore(settings.store.address);
+  const tasks = newTaskGroup((task, error) => {
+    log.error('process.broken', { task, error: (error as Error).stack });
+    throw error;
+  });
+  let isLeaving = false;
+
+  const view = newSettingsView(log);
+  const directory = newDirectory(clock, log);
+  const health = newHealth(clock, log);
+  const meter = newUsageMeter(clock, terms.usageWindowSeconds * MS_PER_SECOND);
+  const coordination = newCoordination({
+    clock,
+    log,
+    store,
+    host,
+    incarnation,
+    failureDomain,
+    leaseMs: terms.leaseMs,
+    meter,
+    readRunning: () => loads.ownAll(),
+    isLeaving: () => isLeaving,
+  });
+  const loads = newLoads(clock, coordination.othersRunning);
+  const candidates = newCandidates({ directory, health, loads, failureDomain });
+  const client = newHttpUpstreamClient(clock);
+  const relayParts = { clock, log, client, candidates, health, loads };
+  const relay = newPlainRelay(relayParts);
+  const relayStream = newStreamRelay(relayParts);
+  const lifeMs = terms.batchLifeSeconds * MS_PER_SECOND;
+  const batchStore = newBatchStore({ clock, log, store, incarnation, lifeMs });
+  const platform = followPlatform({ clock, log, store, view, directory });
+  const runner = newBatchRunner({
+    clock,
+    log,
+    batches: batchStore.batches,
+    client,
+    newEventReader: newSseReader,
+    candidates,
+    health,
+    loads,
+    scorer: newItemScorer({ clock, log, relay, readSettings: view.read }),
+    readSettings: view.read,
+    isOwner: (subject) => !isLeaving && coordination.isFirst(`batches/${subject}`),
+    isFresh: () => clock.now() < batchStore.freshAt() + FRESH_TO_START_MS,
+    isListed: (id) => directory.find(id) !== undefined,
+    write: batchStore.write,
+  });
+  const duties = newDuties({
+    clock,
+    log,
+    host,
+    address: settings.duties.address,
+    windowMs: terms.usageWindowSeconds * MS_PER_SECOND,
+    coordination,
+    directory,
+    readSettings: view.read,
+    namedVersion: platform.namedVersion,
+    failureDomain,
+    newKeeper: coordination.newKeeper,
+  });
+  directory.onGone((entry) => {
+    client.forget(entry);
+    health.forget(entry.id);
+  });
+
+  const batchHandlers = newBatchHandlers({ clock, log, store: batchStore, readSettings: view.read });
+  const callers = newCallerHandler({
+    clock,
+    log,
+    metrics,
+    meter,
+    relay,
+    relayStream,
+    batches: batchHandlers,
+    readSettings: view.read,
+    isLeaving: () => isLeaving,
+  });
+
+  const servers = newServers({
+    settings,
+    log,
+    metrics,
+    callers,
+    batches: batchHandlers,
+    readSettings: view.read,
+    isReady: () => view.read() !== null && !isLeaving,
+  });
+
+  const startTasks = (): void => {
+    tasks.start('settings and upstreams', platform.run);
+    tasks.start('coordination', coordination.tasks.follow);
+    tasks.start('heartbeats', coordination.tasks.beat);
+    tasks.start('batches', batchStore.run);
+    tasks.start('items', runner.run);
+    tasks.start('duties', duties.run);
+  };
+
+  const newGauges = (): void => {
+    metrics.gauge('batch_items_open', runner.open);
+    metrics.gauge('batch_items_running', runner.running);
+    metrics.gauge('hosts_live', () => coordination.members.live().length);
+    metrics.gauge('settings_version', () => view.read()?.settings.version ?? 0);
+    metrics.gauge('batches_view_age_ms', () => Math.round(clock.now() - batchStore.freshAt()));
+  };
+
+  /**
+   * Ends within the time that the platform gives. New connections still come for some seconds, and
+   * requests that are under way go on; what is open at the end would be cut off by the kill anyway.
+   */
+  const drain = async (): Promise<void> => {
+    const startedAt = clock.now();
+    const killAt = startedAt + terms.shutdownSeconds * MS_PER_SECOND - STOP_RESERVE_MS;
+    isLeaving = true;
+    log.info('process.stopping', { open: servers.open(), items: runner.running() });
+    await Promise.all([duties.resign(), coordination.heartbeat()]);
+    await clock.sleepUntil(startedAt + LEAVING_MS);
+    while (servers.open() > 0 && clock.now() < killAt) {
+      await clock.sleepUntil(clock.now() + CHECK_OPEN_MS);
+    }
+    log.info('process.stopped', { open: servers.open() });
+    servers.close();
+    await clock.sleepUntil(clock.now() + CHECK_OPEN_MS);
+  };
+
+  const start = async (): Promise<Running> => {
+    const { address, listen } = settings;
+    log.info('process.started', { incarnation, failureDomain, address, listen });
+    // Without a handler the signal would end the process; settings of its own never change here.
+    process.on('SIGHUP', () => log.info('process.reload', { isChanged: false }));
+    newGauges();
+    startTasks();
+    await servers.listen();
+    return { drain };
+  };
+
+  return { start };
+};
+
+export default newHost;
--- /dev/null
+++ b/apps/host/src/newServers.ts
@@ -0,0 +1,129 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { ITEM_PATH, RESULTS_PATH } from '@cyclamengate/adapter/batchCalls';
+import { restoreCallerRequest } from '@cyclamengate/adapter/callerRequest';
+import { handler } from '@cyclamengate/common/handler';
+import type { AsyncHandler, HandlerRequest } from '@cyclamengate/common/handler';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { Metrics } from '@cyclamengate/common/newMetrics';
+import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
+import polka from 'polka';
+import type { HostSettings } from './hostSettings.js';
+import type { BatchHandlers } from './newBatchHandlers.js';
+import type { CallerHandler } from './newCallerHandler.js';
+
+/** Above the operator's limit, which may change while the server runs. */
+const MOST_HEADER_BYTES = 65_536;
+const BACKLOG = 1_024;
+
+export interface ServersOptions {
+  settings: HostSettings;
+  log: EventLog;
+  metrics: Metrics;
+  callers: CallerHandler;
+  batches: BatchHandlers;
+  readSettings: () => EffectiveSettings | null;
+  isReady: () => boolean;
+}
+
+interface Address {
+  host: string;
+  port: number;
+}
+
+const parseAddress = (address: string): Address => {
+  const [host = '', port = ''] = address.split(':');
+  return { host, port: Number(port) };
+};
+
+const listenOn = (server: Server, { host, port }: Address): Promise<void> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, BACKLOG, resolve);
+  });
+
+const queryOf = ({ url }: IncomingMessage): URLSearchParams =>
+  new URLSearchParams((url ?? '').split('?')[1] ?? '');
+
+/** The addresses on which a host listens: callers, readiness, metrics. */
+const newServers = (options: ServersOptions) => {
+  const { settings, log, metrics, callers, batches, readSettings, isReady } = options;
+  let openRequests = 0;
+
+  const onFault = (error: unknown): void =>
+    log.error('request.broken', { error: (error as Error).stack });
+
+  const on = (handle: AsyncHandler) => handler(onFault, handle);
+
+  const idOf = (request: HandlerRequest): string => String(request.params.id ?? '');
+
+  const app = polka({ onNoMatch: on(callers.serve) })
+    .get(
+      RESULTS_PATH,
+      on((request, response) => {
+        const from = Math.max(0, Math.floor(Number(queryOf(request).get('after')) || 0));
+        return batches.read(restoreCallerRequest(request), response, idOf(request), from);
+      }),
+    )
+    .delete(
+      RESULTS_PATH,
+      on((request, response) =>
+        batches.end(restoreCallerRequest(request), response, idOf(request)),
+      ),
+    )
+    .get(
+      ITEM_PATH,
+      on((request, response) => {
+        const item = queryOf(request).get('id') ?? '';
+        return batches.readItem(restoreCallerRequest(request), response, idOf(request), item);
+      }),
+    );
+
+  /** The operator's limits on time apply from the next connection or request on. */
+  const applyLimits = (server: Server): void => {
+    const limits = readSettings()?.settings.limits;
+    if (!limits) return;
+    server.headersTimeout = limits.headerTimeoutMs;
+    server.keepAliveTimeout = limits.idleTimeoutMs;
+  };
+
+  const callerServer = createServer({ maxHeaderSize: MOST_HEADER_BYTES, requestTimeout: 0 });
+  callerServer.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    openRequests += 1;
+    response.once('close', () => {
+      openRequests -= 1;
+    });
+    applyLimits(callerServer);
+    app.handler(request as never, response as never);
+  });
+
+  const readinessServer = createServer((_request, response) => {
+    response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' });
+    response.end();
+  });
+
+  const metricsServer = createServer((_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+    response.end(metrics.text());
+  });
+
+  return {
+    listen: async (): Promise<void> => {
+      await listenOn(callerServer, parseAddress(settings.listen.callers));
+      await listenOn(readinessServer, parseAddress(settings.listen.readiness));
+      const metricsAddress = { host: settings.address, port: settings.listen.metricsPort };
+      await listenOn(metricsServer, metricsAddress);
+    },
+    open: (): number => openRequests,
+    close: (): void => {
+      [callerServer, readinessServer, metricsServer].forEach((server) => {
+        server.close();
+        server.closeIdleConnections();
+      });
+    },
+  };
+};
+
+export type Servers = ReturnType<typeof newServers>;
+
+export default newServers;
--- /dev/null
+++ b/packages/batches/src/batchRecord.ts
@@ -0,0 +1,71 @@
+import { z } from 'zod';
+
+/** A call that scores an item's text. */
+export const scoringCallSchema = z.object({
+  id: z.string(),
+  hostName: z.string(),
+  path: z.string(),
+  /** In base64. */
+  body: z.string(),
+});
+
+/** One request of a batch. */
+export const itemSchema = z.object({
+  id: z.string(),
+  path: z.string(),
+  headers: z.record(z.string(), z.string()),
+  /** In base64. */
+  body: z.string(),
+  /** Tokens of the prompt and most tokens of output together. */
+  tokens: z.number(),
+  /** Items of one group share their prompt; a trainer uses whole groups. */
+  group: z.string(),
+  scoring: scoringCallSchema.nullable(),
+});
+
+export type Item = z.infer<typeof itemSchema>;
+
+/** A batch as it was accepted. */
+export const batchSchema = z.object({
+  type: z.literal('batch'),
+  id: z.string(),
+  customer: z.string().nullable(),
+  route: z.string(),
+  hostName: z.string(),
+  /** Unix milliseconds by the accepting host's clock. */
+  acceptedAt: z.number(),
+  step: z.int().nullable(),
+  model: z.string().nullable(),
+  /** Oldest version of the weights that may generate its tokens. */
+  leastVersion: z.int(),
+  /** Whole groups that the trainer waits for. */
+  wantedGroups: z.int(),
+  items: z.array(itemSchema),
+});
+
+export type Batch = z.infer<typeof batchSchema>;
+
+/** What became of an item. */
+export const resultSchema = z.object({
+  type: z.literal('result'),
+  batch: z.string(),
+  item: z.string(),
+  state: z.enum(['completed', 'abandoned']),
+  text: z.string(),
+  /** All versions of the weights that generated an event of the text. */
+  versions: z.array(z.int()),
+  score: z.string().nullable(),
+});
+
+export type ItemResult = z.infer<typeof resultSchema>;
+
+/** The batch's sender wants no more of it. */
+export const batchEndSchema = z.object({ type: z.literal('batch-end'), batch: z.string() });
+
+export const batchRecordSchema = z.discriminatedUnion('type', [
+  batchSchema,
+  resultSchema,
+  batchEndSchema,
+]);
+
+export type BatchRecord = z.infer<typeof batchRecordSchema>;
--- /dev/null
+++ b/packages/batches/src/newBatchRunner.ts
@@ -0,0 +1,287 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { Health } from '@cyclamengate/engines/newHealth';
+import type { Loads } from '@cyclamengate/engines/newLoads';
+import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
+import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
+import type { Candidates } from '@cyclamengate/gateway/newCandidates';
+import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
+import type { Route } from '@cyclamengate/gateway/operatorSettings';
+import { pickService } from '@cyclamengate/gateway/findRoute';
+import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
+import type { Item, ItemResult } from './batchRecord.js';
+import type { EventReader } from './EventReader.js';
+import findMoves from './findMoves.js';
+import type { Batches, BatchState } from './newBatches.js';
+import type { ItemScorer } from './newItemScorer.js';
+import newTaskList from './newTaskList.js';
+import type { ItemTask } from './newTaskList.js';
+import planStarts from './planStarts.js';
+import { isFreshEnough, newProgress } from './progress.js';
+import runOnce from './runOnce.js';
+import type { RunEnd } from './runOnce.js';
+
+/** How often waiting and running items are looked at, beside each change. */
+const TICK_MS = 25;
+/** First pause of an item after a failed run; doubles. */
+const FIRST_PAUSE_MS = 30;
+const LONGEST_PAUSE_MS = 800;
+const WRITE_TIMEOUT_MS = 10_000;
+
+export interface BatchRunnerOptions {
+  clock: Clock;
+  log: EventLog;
+  batches: Batches;
+  client: UpstreamClient;
+  newEventReader: () => EventReader;
+  candidates: Candidates;
+  health: Health;
+  loads: Loads;
+  scorer: ItemScorer;
+  readSettings: () => EffectiveSettings | null;
+  /** Whether this host runs the items of this kind of batch now. */
+  isOwner: (subject: string) => boolean;
+  /** Whether the view of the log is new enough to start work on. */
+  isFresh: () => boolean;
+  isListed: (upstream: string) => boolean;
+  write: (result: ItemResult, deadline: number) => Promise<WriteOutcome>;
+}
+
+/** Batches of one model are run by one host, which sees all that compete for its engines. */
+export const subjectOf = ({ batch }: BatchState): string => batch.model ?? batch.id;
+
+/** Runs the items of the batches that are this host's. */
+const newBatchRunner = (options: BatchRunnerOptions) => {
+  const { clock, log, batches, client, candidates, health, loads, scorer, write } = options;
+  const { newEventReader, readSettings, isOwner, isFresh, isListed } = options;
+  const tasks = newTaskList({ clock, findCompleted: batches.findCompleted });
+  let wake = new AbortController();
+
+  const routeOf = ({ batch }: BatchState): Route | undefined =>
+    readSettings()?.settings.routes.find(({ name }) => name === batch.route);
+
+  const finish = async (task: ItemTask, result: Omit<ItemResult, 'type' | 'batch' | 'item'>) => {
+    const { state, item } = task;
+    task.phase = 'writing';
+    const record = { type: 'result' as const, batch: state.batch.id, item: item.id, ...result };
+    let outcome: WriteOutcome = 'not-written';
+    while (outcome !== 'written' && !task.controller.signal.aborted) {
+      outcome = await write(record, clock.now() + WRITE_TIMEOUT_MS);
+    }
+    log.info('item.finished', {
+      batch: state.batch.id,
+      requestId: item.id,
+      state: result.state,
+      versions: result.versions,
+      events: task.progress.events.length,
+      runs: task.runs,
+      tookMs: Math.round(clock.now() - task.createdAt),
+      outcome,
+    });
+  };
+
+  const abandon = (task: ItemTask, reason: string): Promise<void> => {
+    log.warn('item.abandoned', { requestId: task.item.id, batch: task.state.batch.id, reason });
+    return finish(task, { state: 'abandoned', text: '', versions: [], score: null });
+  };
+
+  const score = async (task: ItemTask): Promise<void> => {
+    task.phase = 'scoring';
+    task.textAt = clock.now();
+    const { scoring } = task.item;
+    const outcome = scoring ? await scorer(scoring, task.controller.signal) : null;
+    if (outcome?.type === 'ended') return;
+    if (outcome?.type === 'hopeless') {
+      await abandon(task, 'scoring failed too often');
+      return;
+    }
+    const { events, versions } = task.progress;
+    await finish(task, {
+      state: 'completed',
+      text: events.join('\n'),
+      versions,
+      score: outcome?.score ?? null,
+    });
+  };
+
+  const putBack = (task: ItemTask, pauseMs: number): void => {
+    task.phase = 'waiting';
+    task.notBefore = clock.now() + pauseMs;
+    wake.abort();
+  };
+
+  const pauseOf = (task: ItemTask): number =>
+    Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(task.setbacks, 5));
+
+  const settle = async (task: ItemTask, upstream: string, end: RunEnd): Promise<void> => {
+    const { item, state } = task;
+    const route = routeOf(state);
+    if (task.controller.signal.aborted) return;
+    if (end.type !== 'whole') {
+      const { type, ...why } = end;
+      log.info('item.run-ended', { requestId: item.id, upstream, end: type, ...why });
+    }
+    switch (end.type) {
+      case 'whole':
+        health.succeeded(upstream);
+        await score(task);
+        return;
+      case 'impossible':
+        await abandon(task, 'the engine says that it can never be done');
+        return;
+      case 'failed':
+        task.failures += end.status === 500 ? 1 : 0;
+        task.setbacks += 1;
+        task.avoid = upstream;
+        if (task.failures >= (route?.mostUpstreams ?? 1)) await abandon(task, 'failed too often');
+        else putBack(task, pauseOf(task));
+        return;
+      case 'not-run':
+        if (end.isUnreachable) health.failed(upstream, end.reason);
+        task.setbacks += 1;
+        task.avoid = upstream;
+        putBack(task, pauseOf(task));
+        return;
+      case 'interrupted':
+        if (end.isUpstreamFault) health.failed(upstream, end.reason);
+        task.avoid = upstream;
+        putBack(task, 0);
+        return;
+      default:
+    }
+  };
+
+  /** Text that mixes versions where that is not allowed, or is too old, is made anew. */
+  const dropUnusable = (task: ItemTask, isSingleVersion: boolean): void => {
+    const { progress, state } = task;
+    const isMixed = isSingleVersion && progress.versions.length > 1;
+    if (!isMixed && isFreshEnough(progress, state.batch.leastVersion)) return;
+    task.progress = newProgress();
+  };
+
+  const start = async (task: ItemTask, { entry }: Candidate): Promise<void> => {
+    const { state, item } = task;
+    const { batch } = state;
+    const route = routeOf(state);
+    const isSingleVersion = route?.isSingleVersion ?? false;
+    const run = new AbortController();
+    task.phase = 'running';
+    task.upstream = entry.id;
+    task.run = run;
+    task.runs += 1;
+    loads.begin(entry.id);
+    const { progress } = task;
+    const retentionMs = route?.retentionMs ?? 0;
+    const age = clock.wallTime() - batch.acceptedAt;
+    const end = await runOnce({
+      clock,
+      client,
+      newEventReader,
+      entry,
+      progress,
+      request: {
+        requestId: item.id,
+        method: 'POST',
+        path: item.path,
+        hostName: batch.hostName,
+        headers: item.headers,
+        body: Buffer.from(item.body, 'base64'),
+        customer: batch.customer,
+        deadline: retentionMs > 0 ? clock.now() + Math.max(1, retentionMs - age) : null,
+        lastEventId: progress.lastEventId,
+      },
+      isVersionAllowed: (version) =>
+        version >= batch.leastVersion &&
+        (!isSingleVersion || progress.versions.every((other) => other === version)),
+      onEvent: (gapMs) => health.observe(entry.id, gapMs),
+      onLoad: (load) => loads.report(entry.id, load),
+      signal: AbortSignal.any([task.controller.signal, run.signal]),
+    });
+    loads.end(entry.id);
+    task.upstream = null;
+    if (end.type !== 'whole') dropUnusable(task, isSingleVersion);
+    await settle(task, entry.id, end);
+  };
+
+  const isOver = ({ batch }: BatchState, route: Route | undefined): boolean => {
+    const retentionMs = route?.retentionMs ?? 0;
+    return retentionMs > 0 && clock.wallTime() > batch.acceptedAt + retentionMs;
+  };
+
+  const startWaiting = (): void => {
+    const waiting = tasks.waiting();
+    if (waiting.length === 0 || !isFresh()) return;
+    const byService = new Map<string, ItemTask[]>();
+    waiting.forEach((task) => {
+      const route = routeOf(task.state);
+      const service = route && pickService(route, 0);
+      if (!service) return;
+      if (isOver(task.state, route)) {
+        void abandon(task, 'kept as long as it may be');
+        return;
+      }
+      byService.set(service, [...(byService.get(service) ?? []), task]);
+    });
+    byService.forEach((list, service) => {
+      const plan = planStarts(
+        list.map((task) => tasks.describe(task, routeOf(task.state)?.isSingleVersion ?? false)),
+        candidates(service),
+      );
+      plan.forEach(({ key, candidate }) => {
+        const task = tasks.get(key);
+        if (task) void start(task, candidate);
+      });
+    });
+  };
+
+  const moveRunning = (): void => {
+    const running = tasks.running();
+    if (running.length === 0) return;
+    const services = new Set(running.map((task) => routeOf(task.state)?.splits[0]?.service ?? ''));
+    services.forEach((service) => {
+      const known = candidates(service);
+      const isLeaving = (id: string): boolean => !known.some(({ entry }) => entry.id === id);
+      const moves = findMoves(
+        running
+          .filter(({ movedAt }) => clock.now() > movedAt + 1_000)
+          .map((task) => ({
+            key: task.key,
+            upstream: task.upstream ?? '',
+            expectedTokens: tasks.expectedTokens(task),
+          })),
+        known,
+        (id) => isListed(id) && isLeaving(id),
+      );
+      moves.forEach(({ key }) => {
+        const task = tasks.get(key);
+        if (!task) return;
+        task.movedAt = clock.now();
+        task.run?.abort('moved to a faster engine');
+      });
+    });
+  };
+
+  const tick = (): void => {
+    const mine = batches.open().filter((state) => isOwner(subjectOf(state)));
+    tasks.reconcile(mine).forEach((task) => {
+      if (task.phase === 'scoring') void score(task);
+    });
+    startWaiting();
+    moveRunning();
+  };
+
+  const run = async (signal: AbortSignal): Promise<void> => {
+    batches.onChange(() => wake.abort());
+    while (!signal.aborted) {
+      tick();
+      wake = new AbortController();
+      await clock.sleepUntil(clock.now() + TICK_MS, AbortSignal.any([signal, wake.signal]));
+    }
+  };
+
+  return { run, running: (): number => tasks.running().length, open: tasks.count };
+};
+
+export type BatchRunner = ReturnType<typeof newBatchRunner>;
+
+export default newBatchRunner;
--- /dev/null
+++ b/packages/batches/src/newBatches.ts
@@ -0,0 +1,118 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { Batch, BatchRecord, Item, ItemResult } from './batchRecord.js';
+
+/** A batch with what is known of it. */
+export interface BatchState {
+  batch: Batch;
+  items: Map<string, Item>;
+  /** In the order of the log, which gives each its position. */
+  results: ItemResult[];
+  finished: Set<string>;
+  isEnded: boolean;
+  /** When this host forgets it, on the monotonic clock. */
+  keepUntil: number;
+}
+
+/** An item with the result that it had. */
+export interface CompletedItem {
+  item: Item;
+  result: ItemResult;
+}
+
+export interface BatchesOptions {
+  clock: Clock;
+  /** Batches can be read for so long after they were accepted, in milliseconds. */
+  lifeMs: number;
+}
+
+/**
+ * All batches, as the log's records say.
+ *
+ * A batch can be sent again to another host while the first answer is lost, and two hosts can run
+ * the same item: the first record of a batch, and the first result of an item, in the log's order
+ * are the ones that count. So every host gives the same answer without asking another.
+ */
+const newBatches = ({ clock, lifeMs }: BatchesOptions) => {
+  const states = new Map<string, BatchState>();
+  const completed = new Map<string, CompletedItem>();
+  const listeners = new Set<(state: BatchState) => void>();
+
+  const accept = (batch: Batch): BatchState | null => {
+    if (states.has(batch.id)) return null;
+    const age = Math.max(0, clock.wallTime() - batch.acceptedAt);
+    const state: BatchState = {
+      batch,
+      items: new Map(batch.items.map((item) => [item.id, item])),
+      results: [],
+      finished: new Set(),
+      isEnded: false,
+      keepUntil: clock.now() + Math.max(0, lifeMs - Math.min(age, lifeMs)) + lifeMs / 2,
+    };
+    states.set(batch.id, state);
+    return state;
+  };
+
+  const addResult = (result: ItemResult): BatchState | null => {
+    const state = states.get(result.batch);
+    if (!state?.items.has(result.item) || state.finished.has(result.item)) return null;
+    state.finished.add(result.item);
+    state.results.push(result);
+    const item = state.items.get(result.item);
+    if (item && result.state === 'completed') completed.set(result.item, { item, result });
+    return state;
+  };
+
+  const end = (id: string): BatchState | null => {
+    const state = states.get(id);
+    if (!state || state.isEnded) return null;
+    state.isEnded = true;
+    return state;
+  };
+
+  const change = (record: BatchRecord): BatchState | null => {
+    switch (record.type) {
+      case 'batch':
+        return accept(record);
+      case 'result':
+        return addResult(record);
+      case 'batch-end':
+        return end(record.batch);
+      default:
+        return null;
+    }
+  };
+
+  const forgetOld = (): void =>
+    states.forEach(({ keepUntil }, id) => {
+      if (keepUntil >= clock.now()) return;
+      states.get(id)?.results.forEach(({ item, batch }) => {
+        if (completed.get(item)?.result.batch === batch) completed.delete(item);
+      });
+      states.delete(id);
+    });
+
+  return {
+    apply: (record: BatchRecord): void => {
+      const changed = change(record);
+      if (!changed) return;
+      if (record.type === 'batch') forgetOld();
+      [...listeners].forEach((listener) => listener(changed));
+    },
+    get: (id: string): BatchState | undefined => states.get(id),
+    open: (): BatchState[] =>
+      [...states.values()].filter(
+        ({ isEnded, finished, items }) => !isEnded && finished.size < items.size,
+      ),
+    /** The newest completed result of an item, under whichever batch it stands. */
+    findCompleted: (item: string): CompletedItem | null => completed.get(item) ?? null,
+    /** @returns a function that ends it */
+    onChange: (listener: (state: BatchState) => void): (() => void) => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+};
+
+export type Batches = ReturnType<typeof newBatches>;
+
+export default newBatches;
--- /dev/null
+++ b/packages/batches/src/newItemScorer.ts
@@ -0,0 +1,79 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import { findRoute, pickService } from '@cyclamengate/gateway/findRoute';
+import type { PlainRelay } from '@cyclamengate/gateway/newPlainRelay';
+import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
+import type { Item } from './batchRecord.js';
+
+/** Time for one call; scoring takes 45 ms, at most 220 ms. */
+const CALL_MS = 1_500;
+/** A second upstream may be asked within one call when the first is silent. */
+const UPSTREAMS_A_CALL = 2;
+const FIRST_PAUSE_MS = 40;
+const LONGEST_PAUSE_MS = 500;
+
+export type ScoreOutcome =
+  | { type: 'score'; score: string }
+  /** The scoring service failed it as often as the route allows. */
+  | { type: 'hopeless' }
+  | { type: 'ended' };
+
+export interface ItemScorerOptions {
+  clock: Clock;
+  log: EventLog;
+  relay: PlainRelay;
+  readSettings: () => EffectiveSettings | null;
+}
+
+/** Gets an item's score: the signature of the scoring service under its answer. */
+const newItemScorer = ({ clock, log, relay, readSettings }: ItemScorerOptions) => {
+  const call = async (scoring: NonNullable<Item['scoring']>, signal: AbortSignal) => {
+    const effective = readSettings();
+    const route = effective && findRoute(effective, scoring.hostName, scoring.path);
+    const service = route && pickService(route, 0);
+    if (!route || !service) return null;
+    const request = {
+      requestId: scoring.id,
+      method: 'POST',
+      path: scoring.path,
+      hostName: scoring.hostName,
+      headers: {},
+      body: Buffer.from(scoring.body, 'base64'),
+      customer: null,
+      lastEventId: null,
+      service,
+      isIdempotent: true,
+      mostUpstreams: UPSTREAMS_A_CALL,
+      deadline: clock.now() + CALL_MS,
+    };
+    return { route, outcome: await relay(request, signal) };
+  };
+
+  return async (
+    scoring: NonNullable<Item['scoring']>,
+    signal: AbortSignal,
+  ): Promise<ScoreOutcome> => {
+    let failures = 0;
+    for (let calls = 0; !signal.aborted; calls += 1) {
+      const called = await call(scoring, signal);
+      if (called?.outcome.type === 'answer') {
+        const { answer } = called.outcome;
+        if (answer.status < 300 && answer.signature) {
+          return { type: 'score', score: answer.signature };
+        }
+        if (answer.status === 500) failures += 1;
+        if (failures >= called.route.mostUpstreams) {
+          log.warn('scoring.hopeless', { requestId: scoring.id, failures });
+          return { type: 'hopeless' };
+        }
+      }
+      const pauseMs = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(calls, 6));
+      await clock.sleepUntil(clock.now() + pauseMs, signal);
+    }
+    return { type: 'ended' };
+  };
+};
+
+export type ItemScorer = ReturnType<typeof newItemScorer>;
+
+export default newItemScorer;
--- /dev/null
+++ b/packages/batches/src/newTaskList.ts
@@ -0,0 +1,170 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { Item } from './batchRecord.js';
+import type { BatchState, CompletedItem } from './newBatches.js';
+import type { WaitingItem } from './planStarts.js';
+import { isFreshEnough, newProgress } from './progress.js';
+import type { Progress } from './progress.js';
+
+/** Tokens in one event of a stream, by the platform's usual engines. */
+const TOKENS_AN_EVENT = 63;
+/** An item that is longer than its hint is taken to go on for so long. */
+const LEAST_EXPECTED_TOKENS = 160;
+const UNKNOWN_LENGTH_TOKENS = 1_200;
+/** Texts that are kept when their batch ends before they do; about 10 KB each. */
+const MOST_PARTS = 400;
+
+/** One item of one batch, on the host that runs it. */
+export interface ItemTask {
+  key: string;
+  state: BatchState;
+  item: Item;
+  phase: 'waiting' | 'running' | 'scoring' | 'writing';
+  progress: Progress;
+  createdAt: number;
+  /** When the text was whole. */
+  textAt: number | null;
+  notBefore: number;
+  /** Answers with status 500. */
+  failures: number;
+  /** Runs that brought nothing, in a row. */
+  setbacks: number;
+  runs: number;
+  movedAt: number;
+  isCarried: boolean;
+  avoid: string | null;
+  upstream: string | null;
+  run: AbortController | null;
+  /** Ends all work on the item. */
+  controller: AbortController;
+}
+
+export interface TaskListOptions {
+  clock: Clock;
+  findCompleted: (item: string) => CompletedItem | null;
+}
+
+/** Text of an item that was made under an earlier batch. */
+interface EarlierText {
+  item: Item;
+  progress: Progress;
+  isWhole: boolean;
+}
+
+const restoreText = ({ item, result }: CompletedItem): EarlierText => ({
+  item,
+  progress: { events: [result.text], lastEventId: null, versions: result.versions },
+  isWhole: true,
+});
+
+const isSameRequest = (left: Item, right: Item): boolean =>
+  left.path === right.path &&
+  left.body === right.body &&
+  JSON.stringify(left.headers) === JSON.stringify(right.headers);
+
+const keyOf = (state: BatchState, item: string): string => `${state.batch.id}/${item}`;
+
+/** The items that this host has to run, with how far each is. */
+const newTaskList = ({ clock, findCompleted }: TaskListOptions) => {
+  const tasks = new Map<string, ItemTask>();
+  /** Texts that were under way when their batch ended; their groups may come again. */
+  const parts = new Map<string, EarlierText>();
+  const seenGroups = new Map<string, string>();
+
+  const keepPart = ({ item, progress, textAt }: ItemTask): void => {
+    if (progress.events.length === 0) return;
+    parts.delete(item.id);
+    parts.set(item.id, { item, progress, isWhole: textAt !== null });
+    const [oldest] = parts.keys();
+    if (parts.size > MOST_PARTS && oldest !== undefined) parts.delete(oldest);
+  };
+
+  /** Text of an earlier batch, where it is of the same request and new enough. */
+  const findText = (item: Item, leastVersion: number): EarlierText | null => {
+    const completed = findCompleted(item.id);
+    const found = completed ? restoreText(completed) : parts.get(item.id);
+    if (!found || !isSameRequest(found.item, item)) return null;
+    return isFreshEnough(found.progress, leastVersion) ? found : null;
+  };
+
+  const add = (state: BatchState, item: Item): ItemTask => {
+    const text = findText(item, state.batch.leastVersion);
+    const firstBatch = seenGroups.get(item.group) ?? state.batch.id;
+    seenGroups.set(item.group, firstBatch);
+    const task: ItemTask = {
+      key: keyOf(state, item.id),
+      state,
+      item,
+      phase: text?.isWhole ? 'scoring' : 'waiting',
+      progress: text?.progress ?? newProgress(),
+      createdAt: clock.now(),
+      textAt: null,
+      notBefore: -Infinity,
+      failures: 0,
+      setbacks: 0,
+      runs: 0,
+      movedAt: -Infinity,
+      isCarried: firstBatch !== state.batch.id,
+      avoid: null,
+      upstream: null,
+      run: null,
+      controller: new AbortController(),
+    };
+    tasks.set(task.key, task);
+    return task;
+  };
+
+  const expectedTokens = ({ item, progress }: ItemTask): number => {
+    const hint = Number(item.headers['Length-Hint'] ?? item.headers['length-hint'] ?? Number.NaN);
+    const whole = Number.isFinite(hint) ? hint : UNKNOWN_LENGTH_TOKENS;
+    return Math.max(LEAST_EXPECTED_TOKENS, whole - progress.events.length * TOKENS_AN_EVENT);
+  };
+
+  const end = (task: ItemTask): void => {
+    task.controller.abort('no longer wanted here');
+    tasks.delete(task.key);
+    keepPart(task);
+  };
+
+  return {
+    /**
+     * Brings the tasks in line with the batches that are this host's now.
+     * @returns tasks that are new
+     */
+    reconcile: (mine: BatchState[]): ItemTask[] => {
+      const wanted = new Set(mine);
+      [...tasks.values()]
+        .filter(({ state, item }) => !wanted.has(state) || state.finished.has(item.id))
+        .forEach(end);
+      return mine.flatMap((state) =>
+        [...state.items.values()]
+          .filter(({ id }) => !state.finished.has(id) && !tasks.has(keyOf(state, id)))
+          .map((item) => add(state, item)),
+      );
+    },
+    get: (key: string): ItemTask | undefined => tasks.get(key),
+    count: (): number => tasks.size,
+    waiting: (): ItemTask[] =>
+      [...tasks.values()].filter(
+        ({ phase, notBefore }) => phase === 'waiting' && clock.now() >= notBefore,
+      ),
+    running: (): ItemTask[] => [...tasks.values()].filter(({ phase }) => phase === 'running'),
+    expectedTokens,
+    describe: (task: ItemTask, isSingleVersion: boolean): WaitingItem => {
+      const { batch } = task.state;
+      return {
+        key: task.key,
+        model: batch.model,
+        leastVersion: batch.leastVersion,
+        onlyVersion: isSingleVersion ? (task.progress.versions[0] ?? null) : null,
+        expectedTokens: expectedTokens(task),
+        isCarried: task.isCarried,
+        acceptedAt: batch.acceptedAt,
+        avoid: task.avoid,
+      };
+    },
+  };
+};
+
+export type TaskList = ReturnType<typeof newTaskList>;
+
+export default newTaskList;
--- a/packages/common/src/newLogger.ts
+++ b/packages/common/src/newLogger.ts
@@ -5,8 +5,15 @@
 
 export type Log = Logger<unknown>;
 
-/** One JSON object a line on standard error, with caller keys masked wherever they stand. */
-const newLogger = (program: string, minLevel = 3): Log =>
+const writeToStandardError = (line: string): void => {
+  process.stderr.write(line);
+};
+
+/**
+ * One JSON object a line, with caller keys masked wherever they stand.
+ * @param write takes a whole line; standard error by default
+ */
+const newLogger = (program: string, minLevel = 3, write = writeToStandardError): Log =>
   new Logger<unknown>({
     name: program,
     type: 'json',
@@ -14,7 +21,7 @@
     hideLogPositionForProduction: true,
     maskValuesRegEx: [CALLER_KEY],
     maskValuesOfKeys: ['authorization', 'key', 'x-api-key'],
-    overwrite: { transportJSON: (line) => process.stderr.write(`${JSON.stringify(line)}\n`) },
+    overwrite: { transportJSON: (line) => write(`${JSON.stringify(line)}\n`) },
   });
 
 export default newLogger;
--- /dev/null
+++ b/packages/engines/src/chooseUpstream.ts
@@ -0,0 +1,53 @@
+import type { UpstreamEntry } from './upstreamEntry.js';
+
+/** What is known of an upstream when one is chosen. */
+export interface Candidate {
+  entry: UpstreamEntry;
+  /** Requests that it has now, from all hosts as far as known. */
+  load: number;
+  /** Average time of a unit of work, in milliseconds; null while unknown. */
+  pace: number | null;
+  isResting: boolean;
+  isOwnDomain: boolean;
+}
+
+/** A call to another failure domain costs its bytes and about two milliseconds: a tenth of a slot. */
+const OTHER_DOMAIN_COST = 0.1;
+
+const median = (values: number[]): number | null => {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? null;
+};
+
+/** How many times slower than its peers an upstream works; never under 1. */
+export const slownessOf = (pace: number | null, peers: Candidate[]): number => {
+  const usual = median(peers.flatMap((peer) => (peer.pace === null ? [] : [peer.pace])));
+  return pace === null || usual === null || usual === 0 ? 1 : Math.max(1, pace / usual);
+};
+
+/**
+ * The upstream on which a request is likely to be done first: the one with the fewest requests for
+ * its slots, each request counted as many times as the upstream is slower than its peers. Resting
+ * ones are taken only when there is no other, so that all never rest at once.
+ */
+const chooseUpstream = (
+  candidates: Candidate[],
+  random: () => number = Math.random,
+): Candidate | null => {
+  const awake = candidates.filter(({ isResting }) => !isResting);
+  const eligible = awake.length > 0 ? awake : candidates;
+  const costOf = (candidate: Candidate): number => {
+    const { entry, load, pace, isOwnDomain } = candidate;
+    const slowness = slownessOf(pace, eligible);
+    const busy = (load + 1) / Math.max(1, entry.slots);
+    // A full upstream makes the request wait for a slot; that outweighs all else.
+    const waiting = load >= entry.slots ? 1 + (load - entry.slots) / entry.slots : 0;
+    return (busy + waiting) * slowness + (slowness - 1) + (isOwnDomain ? 0 : OTHER_DOMAIN_COST);
+  };
+  const ranked = eligible
+    .map((candidate) => ({ candidate, cost: costOf(candidate) + random() * 0.01 }))
+    .sort((left, right) => left.cost - right.cost);
+  return ranked[0]?.candidate ?? null;
+};
+
+export default chooseUpstream;
--- /dev/null
+++ b/packages/gateway/src/newCandidates.ts
@@ -0,0 +1,33 @@
+import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
+import type { Directory } from '@cyclamengate/engines/newDirectory';
+import type { Health } from '@cyclamengate/engines/newHealth';
+import type { Loads } from '@cyclamengate/engines/newLoads';
+import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
+
+export interface CandidateOptions {
+  directory: Directory;
+  health: Health;
+  loads: Loads;
+  failureDomain: string;
+}
+
+/** Puts together what is known of a service's upstreams. Draining ones take no new work. */
+const newCandidates = ({ directory, health, loads, failureDomain }: CandidateOptions) => {
+  const describe = (entry: UpstreamEntry): Candidate => ({
+    entry,
+    load: loads.at(entry.id),
+    pace: health.pace(entry.id),
+    isResting: health.isResting(entry.id),
+    isOwnDomain: entry.failureDomain === failureDomain,
+  });
+
+  return (service: string, tried: ReadonlySet<string> = new Set()): Candidate[] =>
+    directory
+      .all(service)
+      .filter(({ id, isDraining }) => !isDraining && !tried.has(id))
+      .map(describe);
+};
+
+export type Candidates = ReturnType<typeof newCandidates>;
+
+export default newCandidates;
--- /dev/null
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -0,0 +1,147 @@
+import type { ServerResponse } from 'node:http';
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import chooseUpstream from '@cyclamengate/engines/chooseUpstream';
+import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
+import type { Health } from '@cyclamengate/engines/newHealth';
+import type { Loads } from '@cyclamengate/engines/newLoads';
+import { BrokenAnswer } from '@cyclamengate/engines/UpstreamClient';
+import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
+import type { UpstreamAnswer } from '@cyclamengate/engines/UpstreamClient';
+import type { Candidates } from './newCandidates.js';
+import newEventSplitter from './newEventSplitter.js';
+import type { RelayedRequest, RelayOutcome } from './newPlainRelay.js';
+import readWhole from './readWhole.js';
+import { notRun, uncertain } from './refusal.js';
+
+const NO_UPSTREAM_RETRY_MS = 250;
+/** An upstream that has sent nothing by then is silent; callers of streams leave after two seconds. */
+const FIRST_BYTE_MS = 1_500;
+
+export interface StreamRelayOptions {
+  clock: Clock;
+  log: EventLog;
+  client: UpstreamClient;
+  candidates: Candidates;
+  health: Health;
+  loads: Loads;
+}
+
+type RunEnd = 'whole' | 'broken' | 'not-run' | 'failed' | 'caller-gone';
+
+/**
+ * Passes a stream of events on as they arrive.
+ *
+ * An upstream can break off in the middle of an event. Only whole events are passed on, so a stream
+ * that may be resumed goes on at another upstream after its last whole event, within one answer; one
+ * that may not ends with a closed connection, which the caller can't take for its end.
+ */
+const newStreamRelay = (options: StreamRelayOptions) => {
+  const { clock, log, client, candidates, health, loads } = options;
+
+  return async (
+    request: RelayedRequest,
+    response: ServerResponse,
+    signal: AbortSignal,
+  ): Promise<RelayOutcome> => {
+    const tried = new Set<string>();
+    let lastEventId = request.lastEventId;
+    let hasRun = false;
+    let failure: { answer: UpstreamAnswer; body: Buffer; upstream: string } | null = null;
+    let lastReason = 'no upstream';
+
+    const pass = async (answer: UpstreamAnswer): Promise<RunEnd> => {
+      const split = newEventSplitter();
+      for await (const chunk of answer.body) {
+        if (!response.headersSent) {
+          response.writeHead(answer.status, {
+            ...answer.headers,
+            'attempt-id': request.requestId,
+          });
+        }
+        const { bytes, lastId } = split(chunk);
+        lastEventId = lastId ?? lastEventId;
+        if (bytes.length > 0) response.write(bytes);
+      }
+      return split(Buffer.alloc(0)).isBetweenEvents ? 'whole' : 'broken';
+    };
+
+    const run = async ({ entry }: Candidate): Promise<RunEnd> => {
+      const outcome = await client.send(
+        entry,
+        { ...request, lastEventId, mustNotRepeat: !request.isIdempotent },
+        Math.min(request.deadline, clock.now() + FIRST_BYTE_MS),
+        signal,
+      );
+      if (signal.aborted) return 'caller-gone';
+      if (outcome.type === 'fault') {
+        lastReason = outcome.fault.reason;
+        if (outcome.fault.type === 'not-run') return 'not-run';
+        health.failed(entry.id, lastReason);
+        return 'broken';
+      }
+      const { answer } = outcome;
+      if (answer.load) loads.report(entry.id, answer.load);
+      if (answer.status >= 300) {
+        const body = await readWhole(answer);
+        lastReason = `status ${answer.status}`;
+        if (body === null) return 'broken';
+        failure = { answer, body, upstream: entry.id };
+        return 'failed';
+      }
+      try {
+        return await pass(answer);
+      } catch (error) {
+        if (!(error instanceof BrokenAnswer)) throw error;
+        lastReason = error.message;
+        if (!signal.aborted) health.failed(entry.id, lastReason);
+        return signal.aborted ? 'caller-gone' : 'broken';
+      }
+    };
+
+    const mayGoOn = (): boolean =>
+      !signal.aborted &&
+      clock.now() < request.deadline &&
+      tried.size < request.mostUpstreams &&
+      (request.isIdempotent || !hasRun);
+
+    while (mayGoOn()) {
+      const next = chooseUpstream(candidates(request.service, tried));
+      if (!next) break;
+      tried.add(next.entry.id);
+      loads.begin(next.entry.id);
+      const end = await run(next);
+      loads.end(next.entry.id);
+      if (end === 'whole') {
+        response.end();
+        health.succeeded(next.entry.id);
+        const answer = { status: 200, headers: {}, signature: null, body: Buffer.alloc(0) };
+        return { type: 'answer', answer, upstream: next.entry.id, upstreams: tried.size };
+      }
+      hasRun = hasRun || end === 'broken' || end === 'failed';
+      log.info('stream.run-ended', {
+        requestId: request.requestId,
+        upstream: next.entry.id,
+        end,
+        lastEventId,
+        reason: lastReason,
+      });
+    }
+    if (response.headersSent) response.destroy();
+    const upstreams = tried.size;
+    const failed = failure as { answer: UpstreamAnswer; body: Buffer; upstream: string } | null;
+    if (failed && !response.headersSent) {
+      const { status, headers, signature } = failed.answer;
+      const answer = { status, headers, signature, body: failed.body };
+      return { type: 'answer', answer, upstream: failed.upstream, upstreams };
+    }
+    const refusal = hasRun
+      ? uncertain('upstream-failed')
+      : notRun('no-upstream', NO_UPSTREAM_RETRY_MS);
+    return { type: 'refusal', refusal, hasRun, upstreams };
+  };
+};
+
+export type StreamRelay = ReturnType<typeof newStreamRelay>;
+
+export default newStreamRelay;
--- /dev/null
+++ b/packages/hosts/src/newMembers.ts
@@ -0,0 +1,45 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { Heartbeat } from './coordinationRecord.js';
+
+export interface Member {
+  host: string;
+  incarnation: string;
+  failureDomain: string;
+  running: Record<string, number>;
+}
+
+interface Sighting {
+  heartbeat: Heartbeat;
+  deadline: number;
+}
+
+/** Which hosts are there, by the heartbeats that they wrote. */
+const newMembers = (clock: Clock, readLifeMs: () => number) => {
+  const sightings = new Map<string, Sighting>();
+
+  const apply = (heartbeat: Heartbeat): void => {
+    sightings.set(heartbeat.host, { heartbeat, deadline: clock.now() + readLifeMs() });
+  };
+
+  const isLive = ({ heartbeat, deadline }: Sighting): boolean =>
+    !heartbeat.isLeaving && clock.now() < deadline;
+
+  return {
+    apply,
+    /** Hosts that take work, in the order of their names. */
+    live: (): Member[] =>
+      [...sightings.values()]
+        .filter(isLive)
+        .map(({ heartbeat }) => heartbeat)
+        .sort((left, right) => (left.host < right.host ? -1 : 1)),
+    /** Hosts that were heard of lately, also those that leave. */
+    heard: (): Heartbeat[] =>
+      [...sightings.values()]
+        .filter(({ deadline }) => clock.now() < deadline)
+        .map(({ heartbeat }) => heartbeat),
+  };
+};
+
+export type Members = ReturnType<typeof newMembers>;
+
+export default newMembers;
--- /dev/null
+++ b/packages/store/src/newStoreWriter.ts
@@ -0,0 +1,135 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type Store from './Store.js';
+import type { Producer } from './Store.js';
+import type { StoreFault } from './storeFault.js';
+
+/** What became of a write: `unknown` may have landed or may still land. */
+export type WriteOutcome = 'written' | 'not-written' | 'unknown';
+
+interface Write {
+  records: Buffer[];
+  deadline: number;
+  settle: (outcome: WriteOutcome) => void;
+}
+
+/** Most bytes of one append, below the store's limit of 2 MiB a call. */
+const MOST_BYTES = 1_500_000;
+/** First pause after a refusal; doubles up to the longest. The store refuses for seconds at most. */
+const FIRST_PAUSE_MS = 25;
+const LONGEST_PAUSE_MS = 250;
+
+export interface StoreWriterOptions {
+  clock: Clock;
+  log: EventLog;
+  store: Store;
+  topic: string;
+  /** Unique to this run of the process. */
+  producer: string;
+}
+
+const sizeOf = ({ records }: Write): number =>
+  records.reduce((sum, record) => sum + record.length + 4, 0);
+
+/**
+ * Writes records to one topic, those that gather meanwhile in one append.
+ *
+ * The store's answer to an append can be lost, and the append can land seconds later. Sent again
+ * under a new name it would stand twice, and a caller could be told "not kept" of what is kept. So
+ * each append has a sequence number under which the store recognises it, one is under way at a
+ * time, and one without an answer is repeated unchanged until it has one. Its writers learn
+ * `unknown` when their deadline passes first.
+ */
+const newStoreWriter = (options: StoreWriterOptions) => {
+  const { clock, log, store, topic, producer } = options;
+  let waiting: Write[] = [];
+  let sequence = 0;
+  let epoch = 1;
+  let isRunning = false;
+
+  const settleExpired = (writes: Write[], outcome: WriteOutcome): Write[] =>
+    writes.filter((write) => {
+      if (write.deadline > clock.now()) return true;
+      write.settle(outcome);
+      return false;
+    });
+
+  const takeGroup = (): Write[] => {
+    let bytes = 0;
+    const count = waiting.findIndex((write, index) => {
+      bytes += sizeOf(write);
+      return index > 0 && bytes > MOST_BYTES;
+    });
+    return waiting.splice(0, count === -1 ? waiting.length : count);
+  };
+
+  const pauseAfter = (failures: number): Promise<void> =>
+    clock.sleepUntil(
+      clock.now() + Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(failures, 4)),
+    );
+
+  /** Whether the fault shows that the append has landed before. */
+  const hasLanded = (fault: StoreFault): boolean =>
+    fault.type === 'sequence' && fault.expected > sequence;
+
+  /** The store no longer knows this producer's numbers: a new epoch starts a new series. */
+  const renumber = (fault: StoreFault): void => {
+    if (fault.type !== 'sequence' && fault.type !== 'fenced') return;
+    epoch += 1;
+    log.warn('store.renumbered', { topic, sequence, epoch, reason: fault.type });
+  };
+
+  const send = async (group: Write[]): Promise<void> => {
+    let live = group;
+    let isAmbiguous = false;
+    let failures = 0;
+    const name = (): Producer => ({ name: producer, epoch, sequence });
+    while (live.length > 0 || isAmbiguous) {
+      const sent = isAmbiguous ? group : live;
+      const answer = await store.append(
+        topic,
+        sent.flatMap(({ records }) => records),
+        name(),
+      );
+      if (answer.ok || hasLanded(answer.val)) {
+        sequence += 1;
+        live.forEach((write) => write.settle('written'));
+        if (failures > 0) log.info('store.append-back', { topic, failures });
+        return;
+      }
+      if (failures === 0) log.warn('store.append-failed', { topic, fault: answer.val });
+      failures += 1;
+      isAmbiguous = isAmbiguous || answer.val.type === 'unknown';
+      renumber(answer.val);
+      live = settleExpired(live, isAmbiguous ? 'unknown' : 'not-written');
+      if (live.length > 0 || isAmbiguous) await pauseAfter(failures);
+      waiting = settleExpired(waiting, 'not-written');
+    }
+  };
+
+  const run = async (): Promise<void> => {
+    if (isRunning) return;
+    isRunning = true;
+    while (waiting.length > 0) {
+      waiting = settleExpired(waiting, 'not-written');
+      await send(takeGroup());
+    }
+    isRunning = false;
+  };
+
+  return {
+    /**
+     * Writes records that stand together.
+     * @param deadline on the monotonic clock, in milliseconds
+     */
+    write: (records: Buffer[], deadline: number): Promise<WriteOutcome> =>
+      new Promise((settle) => {
+        waiting.push({ records, deadline, settle });
+        void run();
+      }),
+  };
+};
+
+export type StoreWriter = ReturnType<typeof newStoreWriter>;
+
+export default newStoreWriter;
--- /dev/null
+++ b/packages/store/src/newTopicFollower.ts
@@ -0,0 +1,102 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type Store from './Store.js';
+import type { StoredRecord } from './Store.js';
+
+/** How long the store holds a read open for a new record; bounds how stale a quiet view gets. */
+const WAIT_MS = 500;
+/** Pause after a failed read, so that an outage is not met by a storm of calls. */
+const FAILED_PAUSE_MS = 100;
+
+export interface TopicFollowerOptions {
+  clock: Clock;
+  log: EventLog;
+  store: Store;
+  topic: string;
+  /** Least time between two reads: what it adds in delay it saves in calls. */
+  paceMs: number;
+  apply: (records: StoredRecord[]) => void;
+}
+
+/**
+ * Follows one topic from its oldest record on, and knows how fresh its view is.
+ *
+ * A view that lags looks like an absence: a batch that another host has just accepted is not there
+ * yet. `catchUp` reads to the end that the topic has now, so that "not there" is said only of what
+ * is truly not there.
+ */
+const newTopicFollower = (options: TopicFollowerOptions) => {
+  const { clock, log, store, topic, paceMs, apply } = options;
+  let next = 0;
+  let freshAt = -Infinity;
+  let isLost = false;
+
+  const noteBack = (): void => {
+    if (isLost) log.info('store.read-back', { topic, next });
+    isLost = false;
+  };
+
+  const noteLost = (reason: string): void => {
+    if (!isLost) log.warn('store.read-failed', { topic, next, reason });
+    isLost = true;
+  };
+
+  /** Takes records that continue the view; a concurrent read may have brought some already. */
+  const take = (records: StoredRecord[]): void => {
+    const fresh = records.filter(({ offset }) => offset >= next);
+    const newest = fresh.at(-1);
+    if (!newest) return;
+    next = newest.offset + 1;
+    apply(fresh);
+  };
+
+  const readOnce = async (waitMs: number, signal?: AbortSignal): Promise<boolean> => {
+    const askedAt = clock.now();
+    const page = await store.read(topic, next, waitMs, signal);
+    if (page.ok) {
+      noteBack();
+      take(page.val.records);
+      if (next >= page.val.end) freshAt = Math.max(freshAt, askedAt);
+      return true;
+    }
+    if (page.val.type === 'expired' && page.val.first > next) {
+      log.warn('store.history-gone', { topic, from: next, first: page.val.first });
+      next = page.val.first;
+      return true;
+    }
+    noteLost(page.val.type);
+    return false;
+  };
+
+  const run = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      const nextReadAt = clock.now() + paceMs;
+      const isRead = await readOnce(WAIT_MS, signal);
+      await clock.sleepUntil(isRead ? nextReadAt : clock.now() + FAILED_PAUSE_MS, signal);
+    }
+  };
+
+  /**
+   * Reads on until the view holds all that the topic held when this was called.
+   * @returns false when that can't be done before the deadline
+   */
+  const catchUp = async (deadline: number): Promise<boolean> => {
+    const askedAt = clock.now();
+    while (freshAt < askedAt && clock.now() < deadline) {
+      const isRead = await readOnce(0);
+      if (!isRead) await clock.sleepUntil(clock.now() + FAILED_PAUSE_MS);
+    }
+    return freshAt >= askedAt;
+  };
+
+  return {
+    run,
+    catchUp,
+    /** The view holds everything that was written before this moment of the monotonic clock. */
+    freshAt: (): number => freshAt,
+  };
+};
+
+export type TopicFollower = ReturnType<typeof newTopicFollower>;
+
+export default newTopicFollower;
--- /dev/null
+++ b/scripts/bundle.js
@@ -0,0 +1,41 @@
+/** Bundles the host program into one file under target/, straight from the sources. */
+import { mkdir } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
+import { build } from 'esbuild';
+
+const root = fileURLToPath(new URL('..', import.meta.url));
+
+/** Finds a workspace package's module by its folder, so that no compiled output is needed. */
+const workspaces = {
+  name: 'workspaces',
+  setup({ onResolve, onLoad }) {
+    onResolve({ filter: /^@cyclamengate\// }, ({ path }) => {
+      const [, name, module] = path.split('/');
+      const folder = name === 'adapter' ? 'platform' : `packages/${name}`;
+      return { path: `${root}${folder}/src/${module}.ts` };
+    });
+    // Its CommonJS files ask for one another through a function that the bundler can't see into.
+    onResolve({ filter: /^ts-results$/ }, () => ({ path: 'ts-results', namespace: 'unwrapped' }));
+    onLoad({ filter: /.*/, namespace: 'unwrapped' }, () => ({
+      contents: "import * as results from 'ts-results/esm/index.js'; export default results;",
+      resolveDir: root,
+    }));
+  },
+};
+
+await mkdir(`${root}target`, { recursive: true });
+await build({
+  entryPoints: [`${root}apps/host/src/main.ts`],
+  outfile: `${root}target/cyclamengate-host.mjs`,
+  bundle: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  minifySyntax: true,
+  legalComments: 'none',
+  plugins: [workspaces],
+  // Some libraries are CommonJS and ask for Node's own modules by `require`.
+  banner: {
+    js: "import{createRequire as newRequire}from'node:module';const require=newRequire(import.meta.url);",
+  },
+});
