--- a/packages/common/src/newEventLog.ts
+++ b/packages/common/src/newEventLog.ts
@@ -1,5 +1,6 @@
 import { write } from 'node:fs';
 import newLogger from './newLogger.js';
+import type { LogLine } from './newLogger.js';
 
 const STANDARD_OUTPUT = 1;
 const INFO_LEVEL = 3;
@@ -64,11 +65,17 @@
   };
 };
 
+const format = (host: string, { _meta, ...fields }: LogLine): string => {
+  const time = _meta.date.toISOString();
+  return `${JSON.stringify({ time, level: _meta.logLevelName, host, ...fields })}\n`;
+};
+
 /** Events of one process as JSON lines on standard output. Never blocks, never holds a key. */
 const newEventLog = (host: string): EventLog => {
-  const leftOut = (count: number): string =>
-    `${JSON.stringify({ event: 'log.left-out', host, count })}\n`;
-  const logger = newLogger(host, INFO_LEVEL, newLineBuffer(leftOut));
+  const put = newLineBuffer(
+    (count) => `${JSON.stringify({ event: 'log.left-out', host, count })}\n`,
+  );
+  const logger = newLogger(host, INFO_LEVEL, (line) => put(format(host, line)));
   return {
     info: (event, fields) => logger.info({ event, ...fields }),
     warn: (event, fields) => logger.warn({ event, ...fields }),
--- a/packages/common/src/newLogger.ts
+++ b/packages/common/src/newLogger.ts
@@ -5,13 +5,19 @@
 
 export type Log = Logger<unknown>;
 
-const writeToStandardError = (line: string): void => {
-  process.stderr.write(line);
+/** What is to be logged, with the logger's own fields under `_meta`. */
+export interface LogLine {
+  _meta: { date: Date; logLevelName: string };
+  [field: string]: unknown;
+}
+
+const writeToStandardError = (line: LogLine): void => {
+  process.stderr.write(`${JSON.stringify(line)}\n`);
 };
 
 /**
  * One JSON object a line, with caller keys masked wherever they stand.
- * @param write takes a whole line; standard error by default
+ * @param write takes a line; standard error by default
  */
 const newLogger = (program: string, minLevel = 3, write = writeToStandardError): Log =>
   new Logger<unknown>({
@@ -21,7 +27,7 @@
     hideLogPositionForProduction: true,
     maskValuesRegEx: [CALLER_KEY],
     maskValuesOfKeys: ['authorization', 'key', 'x-api-key'],
-    overwrite: { transportJSON: (line) => write(`${JSON.stringify(line)}\n`) },
+    overwrite: { transportJSON: (line) => write(line as LogLine) },
   });
 
 export default newLogger;
--- a/packages/engines/src/WeightOrders.ts
+++ b/packages/engines/src/WeightOrders.ts
@@ -25,6 +25,9 @@
 
 /** Gives engines orders to load weights. */
 export default abstract class WeightOrders {
+  /** How many orders an engine has accepted since its start; null when it does not say. */
+  abstract countAccepted(entry: UpstreamEntry, signal: AbortSignal): Promise<number | null>;
+
   /** @param signal ends the call, and resets its connection so that unsent bytes are dropped */
   abstract place(order: WeightOrder, signal: AbortSignal): Promise<WeightOrderOutcome>;
 }
--- a/packages/engines/src/loadWeights.ts
+++ b/packages/engines/src/loadWeights.ts
@@ -1,7 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { UpstreamEntry } from './upstreamEntry.js';
-import { versionOf } from './upstreamEntry.js';
+import { runOf, versionOf } from './upstreamEntry.js';
 import type WeightOrders from './WeightOrders.js';
 
 const CHECK_EVERY_MS = 60;
@@ -36,8 +36,6 @@
 interface UnderWay {
   model: string;
   version: number;
-  /** Orders that the engine had accepted before this one. */
-  afterOrders: number;
   deadline: number;
 }
 
@@ -64,32 +62,39 @@
       if (isOver(id, load)) underWay.delete(id);
     });
 
-  /** The engine's own count, or ours where its entry lags behind an order that it accepted. */
-  const ordersOf = ({ id, orders: listed }: UpstreamEntry): number =>
-    Math.max(listed, accepted.get(id) ?? 0);
+  /** Asks the engine where this holder has not ordered yet; its report lags by some 100 ms. */
+  const ordersOf = async (entry: UpstreamEntry): Promise<number | null> =>
+    accepted.get(runOf(entry)) ??
+    orders.countAccepted(entry, AbortSignal.timeout(ORDER_TIMEOUT_MS));
 
-  const place = async (due: DueLoad, token: number): Promise<void> => {
+  const place = async (due: DueLoad): Promise<void> => {
     const { entry, model, version, mustWaitForRuns } = due;
-    const afterOrders = ordersOf(entry);
-    const load = { model, version, afterOrders, deadline: clock.now() + LOADING_MS };
+    const load = { model, version, deadline: clock.now() + LOADING_MS };
     underWay.set(entry.id, load);
+    const afterOrders = await ordersOf(entry);
+    const held = hold(ORDER_TIMEOUT_MS);
+    if (afterOrders === null || !held) {
+      log.warn('weights.not-ordered', { upstream: entry.id, model, isHeld: held !== null });
+      load.deadline = clock.now() + UNKNOWN_MS / 2;
+      return;
+    }
+    const { token } = held;
     const outcome = await orders.place(
       { entry, model, version, mustWaitForRuns, afterOrders, holder: host, fencingToken: token },
       AbortSignal.timeout(ORDER_TIMEOUT_MS),
     );
     log.info('weights.ordered', { upstream: entry.id, model, version, afterOrders, token, outcome });
-    if (outcome === 'accepted') accepted.set(entry.id, afterOrders + 1);
-    else if (outcome === 'unknown') load.deadline = clock.now() + UNKNOWN_MS;
-    else if (outcome === 'conflict') {
-      // Our count may be wrong: the entry's next one decides.
-      accepted.delete(entry.id);
-      load.deadline = clock.now() + UNKNOWN_MS / 2;
-    } else load.deadline = clock.now() + UNKNOWN_MS;
+    if (outcome === 'accepted') {
+      accepted.set(runOf(entry), afterOrders + 1);
+      return;
+    }
+    // Our count may be wrong after all else: the engine is asked again.
+    accepted.delete(runOf(entry));
+    load.deadline = clock.now() + (outcome === 'conflict' ? UNKNOWN_MS / 3 : UNKNOWN_MS);
   };
 
   const startDue = (): void => {
-    const held = hold(ORDER_TIMEOUT_MS);
-    if (!held) {
+    if (!hold(2 * ORDER_TIMEOUT_MS)) {
       accepted.clear();
       return;
     }
@@ -97,7 +102,7 @@
       .filter(({ entry }) => !underWay.has(entry.id))
       .slice(0, Math.max(0, mostAtOnce - underWay.size))
       .forEach((due) => {
-        if (!underWay.has(due.entry.id)) void place(due, held.token);
+        if (!underWay.has(due.entry.id)) void place(due);
       });
   };
 
--- a/packages/engines/src/upstreamEntry.ts
+++ b/packages/engines/src/upstreamEntry.ts
@@ -18,11 +18,12 @@
   isSpot: boolean;
   /** Unix milliseconds of its start; two starts under one id differ here. */
   startedAt: number;
-  /** Orders that it has accepted since its start. */
-  orders: number;
   models: LoadedModel[];
 }
 
+/** Names one run of an upstream: an upstream may start again under its id. */
+export const runOf = ({ id, startedAt }: UpstreamEntry): string => `${id}@${startedAt}`;
+
 /** Two entries of one id that stand for different runs of the upstream. */
 export const isSameRun = (left: UpstreamEntry, right: UpstreamEntry): boolean =>
   left.startedAt === right.startedAt && left.host === right.host && left.port === right.port;
