--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -3,6 +3,7 @@
 import restoreUpstream from '@cyclamengate/adapter/restoreUpstream';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { NewestVersion } from '@cyclamengate/engines/findDueLoads';
 import type { Directory } from '@cyclamengate/engines/newDirectory';
 import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
 import newKeyedFollower from '@cyclamengate/store/newKeyedFollower';
@@ -15,7 +16,7 @@
 const VERSION_PREFIX = 'version/';
 /** The operator's changes must be in force within two seconds; upstreams write every 1.2 s. */
 const SETTINGS_PACE_MS = 40;
-const UPSTREAMS_PACE_MS = 80;
+const UPSTREAMS_PACE_MS = 200;
 
 export interface FollowPlatformOptions {
   clock: Clock;
@@ -27,7 +28,7 @@
 
 /** Keeps the operator's settings, the trainers' named versions and the list of upstreams current. */
 const followPlatform = ({ clock, log, store, view, directory }: FollowPlatformOptions) => {
-  const versions = new Map<string, number>();
+  const versions = new Map<string, NewestVersion>();
 
   const applySettings = (value: Buffer, offset: number): void => {
     const settings = restoreOperatorSettings(value);
@@ -41,8 +42,8 @@
       log.error('version.unreadable', { offset });
       return;
     }
-    const newest = Math.max(named.version, versions.get(named.model) ?? 0);
-    versions.set(named.model, newest);
+    if (named.version <= (versions.get(named.model)?.version ?? 0)) return;
+    versions.set(named.model, { ...named, learnedAt: clock.now() });
     log.info('version.named', { ...named, offset });
   };
 
@@ -85,7 +86,8 @@
       await Promise.all([operator.run(signal), upstreams.run(signal)]);
     },
     /** The newest version of a model that its trainer has named; 1 before the first. */
-    namedVersion: (model: string): number => versions.get(model) ?? 1,
+    newestVersion: (model: string): NewestVersion =>
+      versions.get(model) ?? { model, version: 1, learnedAt: -Infinity },
   };
 };
 
--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -14,7 +14,7 @@
 
 const TOPIC = 'batches';
 /** Least time between two reads: bounds the calls of many hosts, and delays a result by as much. */
-const PACE_MS = 40;
+const PACE_MS = 80;
 
 export interface BatchStoreOptions {
   clock: Clock;
--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -17,8 +17,8 @@
 import type { StoredRecord } from '@cyclamengate/store/Store';
 
 const TOPIC = 'coordination';
-/** Least time between two reads: bounds the calls of many hosts. */
-const PACE_MS = 60;
+/** Least time between two reads: bounds calls and processor time; a heartbeat is due every 500 ms. */
+const PACE_MS = 150;
 /** Heartbeats of few hosts come so often; the more hosts, the rarer, to bound what all read. */
 const SHORTEST_HEARTBEAT_MS = 500;
 const HEARTBEAT_MS_A_HOST = 15;
--- a/apps/host/src/newDuties.ts
+++ b/apps/host/src/newDuties.ts
@@ -3,9 +3,10 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import loadWeights from '@cyclamengate/engines/loadWeights';
+import findDueLoads from '@cyclamengate/engines/findDueLoads';
+import type { NewestVersion } from '@cyclamengate/engines/findDueLoads';
 import type { DueLoad } from '@cyclamengate/engines/loadWeights';
 import type { Directory } from '@cyclamengate/engines/newDirectory';
-import planHomes from '@cyclamengate/engines/planHomes';
 import { versionOf } from '@cyclamengate/engines/upstreamEntry';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import reportWindows from '@cyclamengate/hosts/reportWindows';
@@ -26,13 +27,13 @@
   newKeeper: Coordination['newKeeper'];
   directory: Directory;
   readSettings: () => EffectiveSettings | null;
-  namedVersion: (model: string) => number;
+  newestVersion: (model: string) => NewestVersion;
 }
 
 /** What one host does for all at a time, under leases: usage reports, and orders to engines. */
 const newDuties = (options: DutiesOptions) => {
   const { clock, log, host, failureDomain, address, windowMs, coordination } = options;
-  const { newKeeper, directory, readSettings, namedVersion } = options;
+  const { newKeeper, directory, readSettings, newestVersion } = options;
   const usageLease = newKeeper('usage', null);
   const enginesLease = newKeeper(`engines/${failureDomain}`, failureDomain);
 
@@ -40,32 +41,22 @@
   const findDue = (): DueLoad[] => {
     const settings = readSettings()?.settings;
     if (!settings) return [];
-    return settings.services.flatMap((service) => {
-      const engines = directory.all(service.name).filter(({ isDraining }) => !isDraining);
-      const homes = planHomes(
-        service.models,
-        engines.map(({ id }) => id),
-      );
-      const isSingleVersion = settings.routes.some(
-        (route) =>
-          route.isSingleVersion && route.splits.some((split) => split.service === service.name),
-      );
-      return engines
-        .filter((entry) => entry.failureDomain === failureDomain)
-        .flatMap((entry) =>
-          service.models
-            .filter((model) => homes.get(model)?.has(entry.id))
-            .map((model) => ({ entry, model, version: namedVersion(model) }))
-            .filter(({ model, version }) => versionOf(entry, model) < version)
-            .map((due) => ({ ...due, mustWaitForRuns: isSingleVersion })),
-        )
-        .sort(
-          (left, right) =>
-            right.version -
-            versionOf(right.entry, right.model) -
-            (left.version - versionOf(left.entry, left.model)),
+    const behind = ({ entry, model, version }: DueLoad): number =>
+      version - versionOf(entry, model);
+    return settings.services
+      .flatMap((service) => {
+        const mustWaitForRuns = settings.routes.some(
+          ({ isSingleVersion, splits }) =>
+            isSingleVersion && splits.some((split) => split.service === service.name),
         );
-    });
+        return findDueLoads(
+          directory.all(service.name),
+          service.models.map(newestVersion),
+          clock.now(),
+        ).map((due) => ({ ...due, mustWaitForRuns }));
+      })
+      .filter(({ entry }) => entry.failureDomain === failureDomain)
+      .sort((left, right) => behind(right) - behind(left));
   };
 
   const run = async (signal: AbortSignal): Promise<void> => {
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -99,7 +99,7 @@
     coordination,
     directory,
     readSettings: view.read,
-    namedVersion: platform.namedVersion,
+    newestVersion: platform.newestVersion,
     failureDomain,
     newKeeper: coordination.newKeeper,
   });
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -16,6 +16,7 @@
 import type { ItemScorer } from './newItemScorer.js';
 import newTaskList from './newTaskList.js';
 import type { ItemTask } from './newTaskList.js';
+import newRefusals from './newRefusals.js';
 import planStarts from './planStarts.js';
 import { isFreshEnough, newProgress } from './progress.js';
 import runOnce from './runOnce.js';
@@ -55,6 +56,7 @@
   const { clock, log, batches, client, candidates, health, loads, scorer, write } = options;
   const { newEventReader, readSettings, isOwner, isFresh, isListed } = options;
   const tasks = newTaskList({ clock, findCompleted: batches.findCompleted });
+  const refusals = newRefusals(clock);
   let wake = new AbortController();
 
   const routeOf = ({ batch }: BatchState): Route | undefined =>
@@ -138,9 +140,9 @@
         return;
       case 'not-run':
         if (end.isUnreachable) health.failed(upstream, end.reason);
-        task.setbacks += 1;
+        else refusals.note(upstream, state.batch.model);
         task.avoid = upstream;
-        putBack(task, pauseOf(task));
+        putBack(task, 0);
         return;
       case 'interrupted':
         if (end.isUpstreamFault) health.failed(upstream, end.reason);
@@ -226,6 +228,7 @@
       const plan = planStarts(
         list.map((task) => tasks.describe(task, routeOf(task.state)?.isSingleVersion ?? false)),
         candidates(service),
+        (id, model) => refusals.isRefusing(id, model),
       );
       plan.forEach(({ key, candidate }) => {
         const task = tasks.get(key);
--- a/packages/batches/src/planStarts.ts
+++ b/packages/batches/src/planStarts.ts
@@ -36,12 +36,21 @@
   Number(right.isCarried) - Number(left.isCarried) ||
   right.expectedTokens - left.expectedTokens;
 
-const isEligible = (item: WaitingItem, { entry, load, isResting }: Candidate): boolean => {
+/** Whether an engine has just refused requests for a model, as it does while it loads. */
+export type RefusalCheck = (upstream: string, model: string | null) => boolean;
+
+const isEligible = (
+  item: WaitingItem,
+  { entry, load, isResting }: Candidate,
+  isRefusing: RefusalCheck,
+): boolean => {
   const version = item.model === null ? null : versionOf(entry, item.model);
   const isVersionGood =
     version === null ||
     (version >= item.leastVersion && (item.onlyVersion === null || version === item.onlyVersion));
-  return isVersionGood && load < entry.slots && !isResting;
+  return (
+    isVersionGood && load < entry.slots && !isResting && !isRefusing(entry.id, item.model)
+  );
 };
 
 /**
@@ -51,11 +60,12 @@
 const planStarts = (
   waiting: WaitingItem[],
   candidates: Candidate[],
+  isRefusing: RefusalCheck,
   random?: () => number,
 ): Start[] => {
   const current = candidates.map((candidate) => ({ ...candidate }));
   return [...waiting].sort(compareWaiting).flatMap((item) => {
-    const eligible = current.filter((candidate) => isEligible(item, candidate));
+    const eligible = current.filter((candidate) => isEligible(item, candidate, isRefusing));
     const others = eligible.filter(({ entry }) => entry.id !== item.avoid);
     const chosen = chooseUpstream(others.length > 0 ? others : eligible, random);
     if (!chosen) return [];
--- a/packages/common/src/newTaskGroup.ts
+++ b/packages/common/src/newTaskGroup.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from 'node:events';
+
 export interface TaskGroup {
   start: (name: string, task: (signal: AbortSignal) => Promise<void>) => void;
   signal: AbortSignal;
@@ -11,6 +13,8 @@
  */
 const newTaskGroup = (onBroken: (name: string, error: unknown) => void): TaskGroup => {
   const controller = new AbortController();
+  // Every wait of every task listens to it; Node.js would take that for a leak.
+  setMaxListeners(0, controller.signal);
   const running = new Set<Promise<void>>();
 
   const start = (name: string, task: (signal: AbortSignal) => Promise<void>): void => {
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -81,7 +81,9 @@
       if (outcome.type === 'fault') {
         const { fault } = outcome;
         const isUnwell = fault.type === 'unknown' || fault.isUnreachable;
-        if (isUnwell && !signal.aborted) health.failed(entry.id, fault.reason);
+        // A deadline that passes early tells of the caller's haste, not of the upstream.
+        const isHasty = clock.now() >= request.deadline && clock.now() < startedAt + SILENT_MS;
+        if (isUnwell && !isHasty && !signal.aborted) health.failed(entry.id, fault.reason);
         return fault.type === 'not-run'
           ? { type: 'not-run', reason: fault.reason }
           : { type: 'failed', reason: fault.reason };
@@ -212,8 +214,9 @@
       const upstream = lastUpstream;
       return finish({ type: 'answer', answer: lastFailure, upstream, upstreams: tried.size });
     }
+    const isLate = clock.now() >= request.deadline;
     const refusal = hasRun
-      ? uncertain('upstream-failed')
+      ? uncertain(isLate ? 'deadline' : 'upstream-failed', isLate ? 504 : 502)
       : notRun('no-upstream', NO_UPSTREAM_RETRY_MS);
     return finish({ type: 'refusal', refusal, hasRun, upstreams: tried.size });
   };
