--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -1,5 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import newNotifier from '@cyclamengate/common/newNotifier';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
@@ -23,7 +24,9 @@
 import type { RunEnd } from './runOnce.js';
 
 /** How often waiting and running items are looked at, beside each change. */
-const TICK_MS = 25;
+const TICK_MS = 40;
+/** How often a host without items looks whether it has come to own a batch. */
+const IDLE_TICK_MS = 250;
 /** First pause of an item after a failed run; doubles. */
 const FIRST_PAUSE_MS = 30;
 const LONGEST_PAUSE_MS = 800;
@@ -57,7 +60,7 @@
   const { newEventReader, readSettings, isOwner, isFresh, isListed } = options;
   const tasks = newTaskList({ clock, findCompleted: batches.findCompleted });
   const refusals = newRefusals(clock);
-  let wake = new AbortController();
+  const notifier = newNotifier(clock);
 
   const routeOf = ({ batch }: BatchState): Route | undefined =>
     readSettings()?.settings.routes.find(({ name }) => name === batch.route);
@@ -109,7 +112,7 @@
   const putBack = (task: ItemTask, pauseMs: number): void => {
     task.phase = 'waiting';
     task.notBefore = clock.now() + pauseMs;
-    wake.abort();
+    notifier.notify();
   };
 
   const pauseOf = (task: ItemTask): number =>
@@ -274,11 +277,12 @@
   };
 
   const run = async (signal: AbortSignal): Promise<void> => {
-    batches.onChange(() => wake.abort());
+    batches.onChange(notifier.notify);
+    signal.addEventListener('abort', notifier.notify);
     while (!signal.aborted) {
       tick();
-      wake = new AbortController();
-      await clock.sleepUntil(clock.now() + TICK_MS, AbortSignal.any([signal, wake.signal]));
+      const isIdle = tasks.count() === 0;
+      await notifier.wait(clock.now() + (isIdle ? IDLE_TICK_MS : TICK_MS));
     }
   };
 
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -49,12 +49,12 @@
   const controller = new AbortController();
   let deadline = clock.now() + FIRST_EVENT_MS;
   const watch = async (): Promise<void> => {
-    while (!controller.signal.aborted && !signal.aborted) {
-      if (clock.now() >= deadline) {
+    while (!controller.signal.aborted) {
+      if (signal.aborted || clock.now() >= deadline) {
         controller.abort();
         return;
       }
-      await clock.sleepUntil(deadline, AbortSignal.any([signal, controller.signal]));
+      await clock.sleepUntil(deadline, controller.signal);
     }
   };
   void watch();
--- a/packages/engines/src/loadWeights.ts
+++ b/packages/engines/src/loadWeights.ts
@@ -4,7 +4,9 @@
 import { runOf, versionOf } from './upstreamEntry.js';
 import type WeightOrders from './WeightOrders.js';
 
-const CHECK_EVERY_MS = 60;
+const CHECK_EVERY_MS = 100;
+/** Without the lease there is nothing to do but to see whether it has come. */
+const IDLE_CHECK_MS = 300;
 const ORDER_TIMEOUT_MS = 700;
 /** A load takes 0.9 s, longer while many load; the engine's entry shows it some 1.2 s later. */
 const LOADING_MS = 2_200;
@@ -109,7 +111,8 @@
   while (!signal.aborted) {
     dropOver();
     startDue();
-    await clock.sleepUntil(clock.now() + CHECK_EVERY_MS, signal);
+    const pauseMs = hold(0) ? CHECK_EVERY_MS : IDLE_CHECK_MS;
+    await clock.sleepUntil(clock.now() + pauseMs, signal);
   }
 };
 
--- a/packages/hosts/src/newLeaseKeeper.ts
+++ b/packages/hosts/src/newLeaseKeeper.ts
@@ -8,7 +8,8 @@
 export const TAKEOVER_MARGIN_MS = 300;
 /** A wall clock that runs ahead of the monotonic one by more than this shows a suspended host. */
 const SUSPENDED_MS = 250;
-const CHECK_EVERY_MS = 100;
+/** Also how late a free lease is noticed, beside the term of three seconds. */
+const CHECK_EVERY_MS = 200;
 /** Hosts further down the order wait so much longer each, so that they do not all claim at once. */
 const RANK_DELAY_MS = 150;
 /** Claims that are remembered; one a second is made, each lives three. */
--- a/packages/hosts/src/reportWindows.ts
+++ b/packages/hosts/src/reportWindows.ts
@@ -7,7 +7,7 @@
 import type { UsageCountsFold } from './newUsageCounts.js';
 import type UsageReports from './UsageReports.js';
 
-const CHECK_EVERY_MS = 200;
+const CHECK_EVERY_MS = 400;
 /** Hosts that do not answer are waited for so long after a window's end: half of what is allowed. */
 const LONGEST_GRACE_MS = 5_500;
 /** Windows before this one are not looked for; a fresh holder reports what may still be in time. */
