--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -1,3 +1,4 @@
+import assertNever from '@cyclamengate/common/assertNever';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import rendezvousRank from '@cyclamengate/common/rendezvousRank';
@@ -79,8 +80,9 @@
         return;
       case 'usage-reported':
         usage.applyReported(record.window);
-        return;
+        break;
       default:
+        assertNever(record);
     }
   };
 
--- a/apps/host/src/newDuties.ts
+++ b/apps/host/src/newDuties.ts
@@ -1,4 +1,4 @@
-import { newHttpUsageReports } from '@cyclamengate/adapter/newDutyCalls';
+import newHttpUsageReports from '@cyclamengate/adapter/newHttpUsageReports';
 import newHttpWeightOrders from '@cyclamengate/adapter/newHttpWeightOrders';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -53,6 +53,7 @@
   const directory = newDirectory(clock, log);
   const health = newHealth(clock, log);
   const meter = newUsageMeter(clock, terms.usageWindowSeconds * MS_PER_SECOND);
+  const loads = newLoads(clock);
   const coordination = newCoordination({
     clock,
     log,
@@ -62,10 +63,10 @@
     failureDomain,
     leaseMs: terms.leaseMs,
     meter,
-    readRunning: () => loads.ownAll(),
+    readRunning: loads.ownAll,
     isLeaving: () => isLeaving,
   });
-  const loads = newLoads(clock, coordination.othersRunning);
+  loads.countOthers(coordination.othersRunning);
   const candidates = newCandidates({ directory, health, loads, failureDomain });
   const client = newHttpUpstreamClient(clock);
   const relayParts = { clock, log, client, candidates, health, loads };
@@ -108,7 +109,12 @@
     health.forget(entry.id);
   });
 
-  const batchHandlers = newBatchHandlers({ clock, log, store: batchStore, readSettings: view.read });
+  const batchHandlers = newBatchHandlers({
+    clock,
+    log,
+    store: batchStore,
+    readSettings: view.read,
+  });
   const callers = newCallerHandler({
     clock,
     log,
--- a/apps/host/src/newServers.ts
+++ b/apps/host/src/newServers.ts
@@ -94,7 +94,7 @@
       openRequests -= 1;
     });
     applyLimits(callerServer);
-    app.handler(request as never, response as never);
+    app.handler(request as never, response);
   });
 
   const readinessServer = createServer((_request, response) => {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 
 /** Airbnb's rules; the formatter and the house style's own lines go before them. */
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'] },
   { name: 'js/config', ...js.configs.recommended },
   plugins.stylistic,
   plugins.importX,
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -1,5 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import assertNever from '@cyclamengate/common/assertNever';
 import newNotifier from '@cyclamengate/common/newNotifier';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
@@ -10,7 +11,7 @@
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
 import { pickService } from '@cyclamengate/gateway/findRoute';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
-import type { Item, ItemResult } from './batchRecord.js';
+import type { ItemResult } from './batchRecord.js';
 import type { EventReader } from './EventReader.js';
 import findMoves from './findMoves.js';
 import type { Batches, BatchState } from './newBatches.js';
@@ -151,8 +152,9 @@
         if (end.isUpstreamFault) health.failed(upstream, end.reason);
         task.avoid = upstream;
         putBack(task, 0);
-        return;
+        break;
       default:
+        assertNever(end);
     }
   };
 
@@ -222,7 +224,7 @@
       const service = route && pickService(route, 0);
       if (!service) return;
       if (isOver(task.state, route)) {
-        void abandon(task, 'kept as long as it may be');
+        abandon(task, 'kept as long as it may be');
         return;
       }
       byService.set(service, [...(byService.get(service) ?? []), task]);
@@ -235,7 +237,7 @@
       );
       plan.forEach(({ key, candidate }) => {
         const task = tasks.get(key);
-        if (task) void start(task, candidate);
+        if (task) start(task, candidate);
       });
     });
   };
@@ -270,7 +272,7 @@
   const tick = (): void => {
     const mine = batches.open().filter((state) => isOwner(subjectOf(state)));
     tasks.reconcile(mine).forEach((task) => {
-      if (task.phase === 'scoring') void score(task);
+      if (task.phase === 'scoring') score(task);
     });
     startWaiting();
     moveRunning();
--- a/packages/batches/src/planStarts.ts
+++ b/packages/batches/src/planStarts.ts
@@ -48,9 +48,7 @@
   const isVersionGood =
     version === null ||
     (version >= item.leastVersion && (item.onlyVersion === null || version === item.onlyVersion));
-  return (
-    isVersionGood && load < entry.slots && !isResting && !isRefusing(entry.id, item.model)
-  );
+  return isVersionGood && load < entry.slots && !isResting && !isRefusing(entry.id, item.model);
 };
 
 /**
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -1,7 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { ReportedLoad } from '@cyclamengate/engines/newLoads';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
-import { BrokenAnswer } from '@cyclamengate/engines/UpstreamClient';
+import BrokenAnswer from '@cyclamengate/engines/BrokenAnswer';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamAnswer, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import type { EventReader } from './EventReader.js';
@@ -57,7 +57,7 @@
       await clock.sleepUntil(deadline, controller.signal);
     }
   };
-  void watch();
+  watch();
   return {
     signal: controller.signal,
     alive: (): void => {
@@ -81,9 +81,9 @@
     for await (const chunk of answer.body) {
       guard.alive();
       const events = reader(chunk);
-      const now = clock.now();
-      events.forEach(() => onEvent((now - lastAt) / events.length));
-      if (events.length > 0) lastAt = now;
+      const gapMs = (clock.now() - lastAt) / events.length;
+      events.forEach(() => onEvent(gapMs));
+      if (events.length > 0) lastAt = clock.now();
       for (const event of events) {
         version = event.version ?? version;
         const expected = Number(progress.lastEventId ?? 0) + 1;
--- a/packages/engines/src/UpstreamClient.ts
+++ b/packages/engines/src/UpstreamClient.ts
@@ -44,8 +44,7 @@
   | { type: 'unknown'; reason: string };
 
 export type UpstreamOutcome =
-  | { type: 'answer'; answer: UpstreamAnswer }
-  | { type: 'fault'; fault: UpstreamFault };
+  { type: 'answer'; answer: UpstreamAnswer } | { type: 'fault'; fault: UpstreamFault };
 
 /** Speaks to upstreams. */
 export default abstract class UpstreamClient {
@@ -64,6 +63,3 @@
   /** Closes what is open to an upstream that is gone. */
   abstract forget(entry: UpstreamEntry): void;
 }
-
-/** Thrown by an answer's body when it ends before it is whole. */
-export class BrokenAnswer extends Error {}
--- a/packages/engines/src/loadWeights.ts
+++ b/packages/engines/src/loadWeights.ts
@@ -85,7 +85,14 @@
       { entry, model, version, mustWaitForRuns, afterOrders, holder: host, fencingToken: token },
       AbortSignal.timeout(ORDER_TIMEOUT_MS),
     );
-    log.info('weights.ordered', { upstream: entry.id, model, version, afterOrders, token, outcome });
+    log.info('weights.ordered', {
+      upstream: entry.id,
+      model,
+      version,
+      afterOrders,
+      token,
+      outcome,
+    });
     if (outcome === 'accepted') {
       accepted.set(runOf(entry), afterOrders + 1);
       return;
@@ -104,7 +111,7 @@
       .filter(({ entry }) => !underWay.has(entry.id))
       .slice(0, Math.max(0, mostAtOnce - underWay.size))
       .forEach((due) => {
-        if (!underWay.has(due.entry.id)) void place(due);
+        if (!underWay.has(due.entry.id)) place(due);
       });
   };
 
--- a/packages/engines/src/newDirectory.ts
+++ b/packages/engines/src/newDirectory.ts
@@ -35,8 +35,7 @@
     });
 
   const noteChange = (entry: UpstreamEntry, before: UpstreamEntry | undefined): void => {
-    const isNews =
-      !before || before.isDraining !== entry.isDraining || !isSameRun(before, entry);
+    const isNews = !before || before.isDraining !== entry.isDraining || !isSameRun(before, entry);
     const versions = (of?: UpstreamEntry): string => JSON.stringify(of?.models ?? []);
     if (!isNews && versions(before) === versions(entry)) return;
     const { id, service, failureDomain, isDraining, isSpot, models } = entry;
--- a/packages/engines/src/newLoads.ts
+++ b/packages/engines/src/newLoads.ts
@@ -11,7 +11,8 @@
 }
 
 /** Requests at each upstream: this host's own, exactly, and others' as far as they are known. */
-const newLoads = (clock: Clock, readOthers: () => Record<string, number>) => {
+const newLoads = (clock: Clock) => {
+  let readOthers = (): Record<string, number> => ({});
   const own = new Map<string, number>();
   const reports = new Map<string, { load: ReportedLoad; ownThen: number; deadline: number }>();
 
@@ -30,6 +31,10 @@
       const deadline = clock.now() + REPORT_LIFE_MS;
       reports.set(id, { load, ownThen: ownOf(id), deadline });
     },
+    /** @param read requests that other hosts run at each upstream */
+    countOthers: (read: () => Record<string, number>): void => {
+      readOthers = read;
+    },
     own: ownOf,
     ownAll: (): Record<string, number> => Object.fromEntries(own),
     /** Requests that the upstream has, as well as can be told. */
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -161,7 +161,7 @@
       if (!next) return null;
       const run = start(next);
       running.add(run);
-      void run.finally(() => running.delete(run));
+      run.finally(() => running.delete(run));
       return next;
     };
 
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -5,7 +5,7 @@
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
-import { BrokenAnswer } from '@cyclamengate/engines/UpstreamClient';
+import BrokenAnswer from '@cyclamengate/engines/BrokenAnswer';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamAnswer } from '@cyclamengate/engines/UpstreamClient';
 import type { Candidates } from './newCandidates.js';
@@ -45,7 +45,7 @@
     signal: AbortSignal,
   ): Promise<RelayOutcome> => {
     const tried = new Set<string>();
-    let lastEventId = request.lastEventId;
+    let { lastEventId } = request;
     let hasRun = false;
     let failure: { answer: UpstreamAnswer; body: Buffer; upstream: string } | null = null;
     let lastReason = 'no upstream';
--- a/packages/gateway/src/readWhole.ts
+++ b/packages/gateway/src/readWhole.ts
@@ -1,4 +1,4 @@
-import { BrokenAnswer } from '@cyclamengate/engines/UpstreamClient';
+import BrokenAnswer from '@cyclamengate/engines/BrokenAnswer';
 import type { UpstreamAnswer } from '@cyclamengate/engines/UpstreamClient';
 
 /** An answer's whole body, or null when it broke off. */
--- a/packages/hosts/src/reportWindows.ts
+++ b/packages/hosts/src/reportWindows.ts
@@ -49,9 +49,7 @@
     return candidates
       .reverse()
       .filter((window) => !usage.isClosed(window))
-      .find(
-        (window) => isComplete(window) || clock.wallTime() > endOf(window) + LONGEST_GRACE_MS,
-      );
+      .find((window) => isComplete(window) || clock.wallTime() > endOf(window) + LONGEST_GRACE_MS);
   };
 
   const closeDue = async (): Promise<void> => {
@@ -71,10 +69,7 @@
     const outcome = await reports.send(report, AbortSignal.timeout(SEND_TIMEOUT_MS));
     log.info('usage.reported', { window: due.window, outcome, fencingToken: hold.token });
     if (outcome === 'unknown') return;
-    await write(
-      { type: 'usage-reported', window: due.window },
-      clock.now() + WRITE_TIMEOUT_MS,
-    );
+    await write({ type: 'usage-reported', window: due.window }, clock.now() + WRITE_TIMEOUT_MS);
   };
 
   while (!signal.aborted) {
--- a/packages/store/src/newStoreWriter.ts
+++ b/packages/store/src/newStoreWriter.ts
@@ -125,7 +125,7 @@
     write: (records: Buffer[], deadline: number): Promise<WriteOutcome> =>
       new Promise((settle) => {
         waiting.push({ records, deadline, settle });
-        void run();
+        run();
       }),
   };
 };
