--- /dev/null
+++ b/packages/batches/tests/helpers.ts
@@ -0,0 +1,75 @@
+import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
+import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
+import type { Batch, Item } from '../src/batchRecord.js';
+import type { EventReader, StreamEvent } from '../src/EventReader.js';
+
+export const silentLog = { info: () => {}, warn: () => {}, error: () => {} };
+
+export const newItem = (id: string, changes: Partial<Item> = {}): Item => ({
+  id,
+  path: `/rounds/${id}`,
+  headers: { 'Length-Hint': '600' },
+  body: Buffer.from(`prompt of ${id}`).toString('base64'),
+  tokens: 1_600,
+  group: `group of ${id}`,
+  scoring: null,
+  ...changes,
+});
+
+export const newBatch = (id: string, items: Item[], changes: Partial<Batch> = {}): Batch => ({
+  type: 'batch',
+  id,
+  customer: 'museum',
+  route: 'rounds',
+  hostName: 'parts.example',
+  acceptedAt: 1_800_000_000_000,
+  step: 1,
+  model: 'x',
+  leastVersion: 1,
+  wantedGroups: 1,
+  items,
+  ...changes,
+});
+
+export const newEntry = (id: string, changes: Partial<UpstreamEntry> = {}): UpstreamEntry => ({
+  id,
+  service: 'models',
+  host: '10.0.0.1',
+  port: 8_080,
+  failureDomain: 'detroit',
+  slots: 8,
+  isDraining: false,
+  isSpot: false,
+  startedAt: 1,
+  models: [{ model: 'x', version: 1 }],
+  ...changes,
+});
+
+export const newCandidate = (
+  id: string,
+  changes: Partial<Candidate> = {},
+  entry: Partial<UpstreamEntry> = {},
+): Candidate => ({
+  entry: newEntry(id, entry),
+  load: 0,
+  pace: 35,
+  isResting: false,
+  isOwnDomain: true,
+  ...changes,
+});
+
+/** Events as a line of JSON each: `[id, data, version]`. */
+export const newLineReader = (): EventReader => {
+  let rest = '';
+  return (chunk) => {
+    const lines = (rest + chunk.toString()).split('\n');
+    rest = lines.pop() ?? '';
+    return lines.map((line): StreamEvent => {
+      const [id, data, version] = JSON.parse(line) as [number, string, number | undefined];
+      return { id: String(id), data, version: version ?? null };
+    });
+  };
+};
+
+export const eventLine = (id: number, data: string, version?: number): string =>
+  `${JSON.stringify([id, data, version])}\n`;
--- /dev/null
+++ b/packages/batches/tests/newBatches.test.ts
@@ -0,0 +1,86 @@
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import test from 'ava';
+import newBatches from '../src/newBatches.js';
+import { encodeRecord, newRecordAssembler } from '../src/recordPieces.js';
+import { newBatch, newItem } from './helpers.js';
+
+const newParts = () => {
+  const clock = newManualClock();
+  return { clock, batches: newBatches({ clock, lifeMs: 120_000 }) };
+};
+
+const result = (batch: string, item: string, text: string) => ({
+  type: 'result' as const,
+  batch,
+  item,
+  state: 'completed' as const,
+  text,
+  versions: [1],
+  score: null,
+});
+
+test('a batch that is sent twice is accepted once', (t) => {
+  // The answer to the first sending is lost, and its trainer sends it to another host.
+  const { batches } = newParts();
+  batches.apply(newBatch('b', [newItem('1')]));
+  batches.apply(newBatch('b', [newItem('1'), newItem('2')]));
+  t.is(batches.get('b')?.items.size, 1);
+});
+
+test('of two results of an item the first stands, on every host', (t) => {
+  // Two hosts each believe that the batch is theirs to run, and both finish the item.
+  const { batches } = newParts();
+  batches.apply(newBatch('b', [newItem('1'), newItem('2')]));
+  batches.apply(result('b', '2', 'first'));
+  batches.apply(result('b', '1', 'one'));
+  batches.apply(result('b', '2', 'second'));
+  t.deepEqual(
+    batches.get('b')?.results.map(({ item, text }) => [item, text]),
+    [
+      ['2', 'first'],
+      ['1', 'one'],
+    ],
+  );
+});
+
+test('a result of an unknown item or batch changes nothing', (t) => {
+  const { batches } = newParts();
+  batches.apply(newBatch('b', [newItem('1')]));
+  batches.apply(result('b', 'foreign', 'x'));
+  batches.apply(result('other', '1', 'x'));
+  t.is(batches.get('b')?.results.length, 0);
+});
+
+test('a batch is kept as long as it may be read, then forgotten', async (t) => {
+  const { clock, batches } = newParts();
+  batches.apply(newBatch('b', [newItem('1')], { acceptedAt: clock.wallTime() }));
+  await clock.advance(119_000);
+  batches.apply(newBatch('c', [newItem('1')], { acceptedAt: clock.wallTime() }));
+  t.truthy(batches.get('b'));
+  await clock.advance(120_000);
+  batches.apply(newBatch('d', [newItem('1')], { acceptedAt: clock.wallTime() }));
+  t.is(batches.get('b'), undefined);
+});
+
+test('a large batch travels in pieces that are put together again', (t) => {
+  // A step of 512 samples does not fit into one record of the store.
+  const items = Array.from({ length: 512 }, (_, index) =>
+    newItem(String(index), { body: 'x'.repeat(900) }),
+  );
+  const batch = newBatch('large', items);
+  const pieces = encodeRecord(batch, 'piece-1');
+  t.true(pieces.length > 1);
+  t.true(pieces.every(({ length }) => length < 262_144));
+  const assemble = newRecordAssembler();
+  const whole = pieces.map((piece) => assemble(JSON.parse(piece.toString())));
+  t.deepEqual(whole.at(-1), JSON.parse(JSON.stringify(batch)));
+  t.true(whole.slice(0, -1).every((part) => part === null));
+});
+
+test('pieces whose beginning is gone are left out', (t) => {
+  // History begins in the middle of a large record.
+  const pieces = encodeRecord(newBatch('b', [newItem('1', { body: 'x'.repeat(500_000) })]), 'p');
+  const assemble = newRecordAssembler();
+  const whole = pieces.slice(1).map((piece) => assemble(JSON.parse(piece.toString())));
+  t.true(whole.every((part) => part === null));
+});
--- /dev/null
+++ b/packages/batches/tests/planning.test.ts
@@ -0,0 +1,128 @@
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import test from 'ava';
+import findMoves from '../src/findMoves.js';
+import newRefusals from '../src/newRefusals.js';
+import planStarts from '../src/planStarts.js';
+import type { WaitingItem } from '../src/planStarts.js';
+import { newCandidate } from './helpers.js';
+
+const waiting = (key: string, changes: Partial<WaitingItem> = {}): WaitingItem => ({
+  key,
+  model: 'x',
+  leastVersion: 1,
+  onlyVersion: null,
+  expectedTokens: 600,
+  isCarried: false,
+  acceptedAt: 1_000,
+  avoid: null,
+  ...changes,
+});
+
+const never = (): boolean => false;
+const noLuck = (): number => 0;
+
+test('the longest items start first when slots are short', (t) => {
+  // Thirty items wait for eight slots. A step is whole when its slowest item is; the longest one,
+  // started last, would end long after all others.
+  const items = [
+    waiting('short', { expectedTokens: 100 }),
+    waiting('long', { expectedTokens: 9_000 }),
+  ];
+  const starts = planStarts(items, [newCandidate('a', { load: 7 })], never, noLuck);
+  t.deepEqual(
+    starts.map(({ key }) => key),
+    ['long'],
+  );
+});
+
+test('groups that were carried over start before new ones, older batches before newer ones', (t) => {
+  const items = [
+    waiting('new', { expectedTokens: 900 }),
+    waiting('carried', { isCarried: true }),
+    waiting('older', { acceptedAt: 500, expectedTokens: 10 }),
+  ];
+  const starts = planStarts(items, [newCandidate('a', { load: 5 })], never, noLuck);
+  t.deepEqual(
+    starts.map(({ key }) => key),
+    ['older', 'carried', 'new'],
+  );
+});
+
+test('no item starts on weights that its trainer no longer allows', (t) => {
+  // The trainer is at version 3 and takes 2 at the oldest; one engine still holds 1.
+  const stale = newCandidate('stale', {}, { models: [{ model: 'x', version: 1 }] });
+  t.deepEqual(planStarts([waiting('a', { leastVersion: 2 })], [stale], never), []);
+  const fresh = newCandidate('fresh', { load: 7 }, { models: [{ model: 'x', version: 2 }] });
+  const starts = planStarts([waiting('a', { leastVersion: 2 })], [stale, fresh], never);
+  t.is(starts[0]?.candidate.entry.id, 'fresh');
+});
+
+test('an engine that loads a model gets no more items of it for a while', async (t) => {
+  // It refuses each of them until the load is over. Sent to again and again, all waiting items
+  // would spend the load asking.
+  const clock = newManualClock();
+  const refusals = newRefusals(clock);
+  refusals.note('a', 'x');
+  const candidates = [newCandidate('a')];
+  t.deepEqual(planStarts([waiting('1')], candidates, refusals.isRefusing), []);
+  t.is(
+    planStarts([waiting('1', { model: 'y', leastVersion: 0 })], candidates, refusals.isRefusing)
+      .length,
+    1,
+  );
+  await clock.advance(250);
+  t.is(planStarts([waiting('1')], candidates, refusals.isRefusing).length, 1);
+});
+
+test('an item does not go back to the engine that failed it while there is another', (t) => {
+  const items = [waiting('1', { avoid: 'a' })];
+  const starts = planStarts(items, [newCandidate('a'), newCandidate('b', { load: 6 })], never);
+  t.is(starts[0]?.candidate.entry.id, 'b');
+  t.is(planStarts(items, [newCandidate('a')], never)[0]?.candidate.entry.id, 'a');
+});
+
+test('a burst that fits starts at once, spread over the engines', (t) => {
+  // 48 items of a step arrive for six idle engines of eight slots. Before, sent to the least loaded
+  // engine as last reported, most would have queued on one.
+  const items = Array.from({ length: 48 }, (_, index) => waiting(String(index)));
+  const engines = ['a', 'b', 'c', 'd', 'e', 'f'].map((id) => newCandidate(id));
+  const starts = planStarts(items, engines, never);
+  t.is(starts.length, 48);
+  const counts = engines.map(
+    ({ entry }) => starts.filter(({ candidate }) => candidate.entry.id === entry.id).length,
+  );
+  t.deepEqual(counts, [8, 8, 8, 8, 8, 8]);
+});
+
+test('long items leave an engine that has turned slow, as far as there is room', (t) => {
+  // One engine of three works four times slower, and says nothing of it. Its items would end long
+  // after their step is due.
+  const candidates = [
+    newCandidate('slow', { pace: 140, load: 3 }),
+    newCandidate('a', { load: 7 }),
+    newCandidate('b', { load: 7 }),
+  ];
+  const running = [
+    { key: 'long', upstream: 'slow', expectedTokens: 4_000 },
+    { key: 'middle', upstream: 'slow', expectedTokens: 900 },
+    { key: 'longer', upstream: 'slow', expectedTokens: 6_000 },
+    { key: 'nearly done', upstream: 'slow', expectedTokens: 60 },
+    { key: 'elsewhere', upstream: 'a', expectedTokens: 6_000 },
+  ];
+  t.deepEqual(
+    findMoves(running, candidates, never).map(({ key }) => key),
+    ['longer', 'long'],
+  );
+});
+
+test('items leave an engine that is about to leave', (t) => {
+  const running = [{ key: 'one', upstream: 'leaving', expectedTokens: 900 }];
+  const moves = findMoves(running, [newCandidate('a')], (id) => id === 'leaving');
+  t.is(moves.length, 1);
+});
+
+test('no item moves while all engines are equally slow', (t) => {
+  const candidates = [newCandidate('a', { pace: 140 }), newCandidate('b', { pace: 150 })];
+  const running = [{ key: 'one', upstream: 'b', expectedTokens: 900 }];
+  t.deepEqual(findMoves(running, candidates, never), []);
+});
--- /dev/null
+++ b/packages/batches/tests/runOnce.test.ts
@@ -0,0 +1,109 @@
+import BrokenAnswer from '@cyclamengate/engines/BrokenAnswer';
+import UpstreamClient from '@cyclamengate/engines/UpstreamClient';
+import type { UpstreamOutcome, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
+import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import test from 'ava';
+import { newProgress } from '../src/progress.js';
+import type { Progress } from '../src/progress.js';
+import runOnce from '../src/runOnce.js';
+import { eventLine, newEntry, newLineReader } from './helpers.js';
+
+async function* stream(lines: string[], end: 'whole' | 'broken'): AsyncGenerator<Buffer> {
+  for (const line of lines) yield Buffer.from(line);
+  if (end === 'broken') throw new BrokenAnswer('reset');
+}
+
+const run = async (
+  lines: string[],
+  { end = 'whole' as 'whole' | 'broken', progress = newProgress(), least = 1, version = 1 } = {},
+) => {
+  const sent: UpstreamRequest[] = [];
+
+  class FakeClient extends UpstreamClient {
+    async send(_entry: UpstreamEntry, request: UpstreamRequest): Promise<UpstreamOutcome> {
+      sent.push(request);
+      const body = stream(lines, end);
+      const head = { status: 200, headers: {}, signature: 's', load: null, isEventStream: true };
+      return { type: 'answer', answer: { ...head, version, body } };
+    }
+
+    forget(): void {}
+  }
+  const outcome = await runOnce({
+    clock: newManualClock(),
+    client: new FakeClient(),
+    newEventReader: newLineReader,
+    entry: newEntry('a'),
+    progress,
+    request: {
+      requestId: '1',
+      method: 'POST',
+      path: '/',
+      hostName: 'parts.example',
+      headers: {},
+      body: Buffer.alloc(0),
+      customer: null,
+      deadline: null,
+      lastEventId: progress.lastEventId,
+    },
+    isVersionAllowed: (candidate) => candidate >= least,
+    onEvent: () => {},
+    onLoad: () => {},
+    signal: new AbortController().signal,
+  });
+  return { outcome, progress, sent };
+};
+
+test('a text names every version that made an event of it', async (t) => {
+  // New weights arrive in the middle of a text, and the engine goes on under them.
+  const { outcome, progress } = await run([
+    eventLine(1, 'a'),
+    eventLine(2, 'b', 2),
+    eventLine(3, 'c'),
+  ]);
+  t.is(outcome.type, 'whole');
+  t.deepEqual(progress.versions, [1, 2]);
+  t.deepEqual(progress.events, ['a', 'b', 'c']);
+});
+
+test('a version that made no whole event is not named', async (t) => {
+  // The engine breaks off right after it changed versions; the event under the new one is cut.
+  const { progress } = await run([eventLine(1, 'a'), '[2,"b'], { end: 'broken' });
+  t.deepEqual(progress.versions, [1]);
+  t.deepEqual(progress.events, ['a']);
+});
+
+test('what there is of a broken text is kept, and the next run goes on after it', async (t) => {
+  // The engine crashes in the middle of a text. Made anew from the start, a long text would miss
+  // its step.
+  const first = await run([eventLine(1, 'a'), eventLine(2, 'b')], { end: 'broken' });
+  t.is(first.outcome.type, 'interrupted');
+  const second = await run([eventLine(3, 'c')], { progress: first.progress, version: 4 });
+  t.is(second.sent[0]?.lastEventId, '2');
+  t.is(second.outcome.type, 'whole');
+  t.deepEqual(second.progress.events, ['a', 'b', 'c']);
+  t.deepEqual(second.progress.versions, [1, 4]);
+});
+
+test('an event that is missing or stands twice ends the run before it', async (t) => {
+  const gap = await run([eventLine(1, 'a'), eventLine(3, 'c')]);
+  t.is(gap.outcome.type, 'interrupted');
+  t.deepEqual(gap.progress.events, ['a']);
+  const progress: Progress = { events: ['a'], lastEventId: '1', versions: [1] };
+  const twice = await run([eventLine(1, 'a')], { progress });
+  t.is(twice.outcome.type, 'interrupted');
+  t.deepEqual(twice.progress.events, ['a']);
+});
+
+test('tokens of a version that is too old are not taken', async (t) => {
+  // The engine's entry said that it holds the new weights; its answer says otherwise.
+  const { outcome, progress } = await run([eventLine(1, 'a')], { least: 2, version: 1 });
+  t.is(outcome.type, 'interrupted');
+  t.deepEqual(progress.events, []);
+});
+
+test('tokens without a version are not taken', async (t) => {
+  const { outcome } = await run([eventLine(1, 'a')], { version: null as never });
+  t.is(outcome.type, 'interrupted');
+});
--- /dev/null
+++ b/packages/engines/tests/loadWeights.test.ts
@@ -0,0 +1,115 @@
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import test from 'ava';
+import loadWeights from '../src/loadWeights.js';
+import type { UpstreamEntry } from '../src/upstreamEntry.js';
+import { versionOf } from '../src/upstreamEntry.js';
+import WeightOrders from '../src/WeightOrders.js';
+import type { WeightOrder, WeightOrderOutcome } from '../src/WeightOrders.js';
+import { newEntry, silentLog } from './helpers.js';
+
+/** Engines that carry orders out at once, lose answers, or carry them out late. */
+const newEngines = (entries: UpstreamEntry[]) => {
+  const known = new Map(entries.map((entry) => [entry.id, entry]));
+  const accepted = new Map<string, number>();
+  const orders: WeightOrder[] = [];
+  const late: WeightOrder[] = [];
+  const faults = { late: 0 };
+
+  const carryOut = ({ entry, model, version, afterOrders }: WeightOrder): WeightOrderOutcome => {
+    const count = accepted.get(entry.id) ?? 0;
+    if (afterOrders !== count) return 'conflict';
+    accepted.set(entry.id, count + 1);
+    const current = known.get(entry.id);
+    if (current) known.set(entry.id, { ...current, models: [{ model, version }] });
+    return 'accepted';
+  };
+
+  class FakeOrders extends WeightOrders {
+    async countAccepted({ id }: UpstreamEntry): Promise<number> {
+      return accepted.get(id) ?? 0;
+    }
+
+    async place(order: WeightOrder): Promise<WeightOrderOutcome> {
+      orders.push(order);
+      if (faults.late === 0) return carryOut(order);
+      faults.late -= 1;
+      late.push(order);
+      return 'unknown';
+    }
+  }
+  return {
+    orders,
+    faults,
+    port: new FakeOrders(),
+    find: (id: string) => known.get(id),
+    landLate: (): void => late.splice(0).forEach(carryOut),
+    version: (id: string): number => versionOf(known.get(id) as UpstreamEntry, 'x'),
+  };
+};
+
+const newParts = (ids: string[]) => {
+  const clock = newManualClock();
+  const engines = newEngines(
+    ids.map((id) => newEntry(id, { models: [{ model: 'x', version: 1 }] })),
+  );
+  const state = { version: 2, token: 5 as number | null };
+  const stop = new AbortController();
+  const findDue = () =>
+    ids
+      .map((id) => engines.find(id) as UpstreamEntry)
+      .filter((entry) => versionOf(entry, 'x') < state.version)
+      .map((entry) => ({ entry, model: 'x', version: state.version, mustWaitForRuns: false }));
+  const running = loadWeights(
+    {
+      clock,
+      log: silentLog,
+      host: 'a',
+      orders: engines.port,
+      hold: () => (state.token === null ? null : { token: state.token }),
+      findDue,
+      find: engines.find,
+      mostAtOnce: 1,
+    },
+    stop.signal,
+  );
+  const end = async (): Promise<void> => {
+    stop.abort();
+    await running;
+  };
+  return { clock, engines, state, end };
+};
+
+test('an order that is carried out seconds late brings no old version back', async (t) => {
+  // An engine leaves an order unanswered and carries it out after a newer one. Its weights would go
+  // back, and samples would be older than their trainer allows.
+  const { clock, engines, state, end } = newParts(['one']);
+  engines.faults.late = 1;
+  await clock.advance(300);
+  state.version = 3;
+  await clock.advance(4_000);
+  t.is(engines.version('one'), 3);
+  engines.landLate();
+  t.is(engines.version('one'), 3);
+  await end();
+});
+
+test('nothing is ordered without the lease', async (t) => {
+  // Another host is in charge. Two hosts that both order would break the engine's order of orders.
+  const { clock, engines, state, end } = newParts(['one']);
+  state.token = null;
+  await clock.advance(3_000);
+  t.is(engines.orders.length, 0);
+  state.token = 9;
+  await clock.advance(1_000);
+  t.is(engines.orders[0]?.fencingToken, 9);
+  await end();
+});
+
+test('engines load one at a time', async (t) => {
+  const { clock, engines, end } = newParts(['one', 'two', 'three']);
+  await clock.advance(50);
+  t.is(engines.orders.length, 1);
+  await clock.advance(2_000);
+  t.deepEqual(['one', 'two', 'three'].map(engines.version), [2, 2, 2]);
+  await end();
+});
--- /dev/null
+++ b/packages/engines/tests/placing.test.ts
@@ -0,0 +1,142 @@
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import test from 'ava';
+import chooseUpstream from '../src/chooseUpstream.js';
+import type { Candidate } from '../src/chooseUpstream.js';
+import findDueLoads from '../src/findDueLoads.js';
+import newDirectory from '../src/newDirectory.js';
+import newHealth from '../src/newHealth.js';
+import planHomes from '../src/planHomes.js';
+import { newEntry, silentLog } from './helpers.js';
+
+const candidate = (id: string, changes: Partial<Candidate> = {}): Candidate => ({
+  entry: newEntry(id),
+  load: 0,
+  pace: 35,
+  isResting: false,
+  isOwnDomain: true,
+  ...changes,
+});
+
+const chosen = (candidates: Candidate[]): string | undefined =>
+  chooseUpstream(candidates, () => 0)?.entry.id;
+
+test('a request goes to the upstream with the most room', (t) => {
+  t.is(chosen([candidate('a', { load: 5 }), candidate('b', { load: 2 })]), 'b');
+});
+
+test('an upstream that has turned slow is passed over while others have room', (t) => {
+  // An engine works four times slower and says nothing of it. Least load alone would choose it, and
+  // every answer from it would be late.
+  const slow = candidate('slow', { load: 0, pace: 140 });
+  t.is(chosen([slow, candidate('a', { load: 3 }), candidate('b', { load: 4 })]), 'a');
+});
+
+test('upstreams that failed are used when there are no others', (t) => {
+  // All upstreams of a service failed once. Refusing every request until they are trusted again
+  // would turn a hiccup into an outage.
+  t.is(
+    chosen([candidate('a', { isResting: true, load: 1 }), candidate('b', { isResting: true })]),
+    'b',
+  );
+});
+
+test('an upstream that fails rests longer each time, and one success ends that', async (t) => {
+  // An engine is dead behind its address. Each request sent to it costs its caller time, so it is
+  // tried less and less often, but never for good.
+  const clock = newManualClock();
+  const health = newHealth(clock, silentLog);
+  health.failed('a', 'reset');
+  t.true(health.isResting('a'));
+  await clock.advance(350);
+  t.false(health.isResting('a'));
+  health.failed('a', 'reset');
+  await clock.advance(350);
+  t.true(health.isResting('a'));
+  await clock.advance(300);
+  health.succeeded('a');
+  health.failed('a', 'reset');
+  await clock.advance(350);
+  t.false(health.isResting('a'));
+});
+
+test('an entry that lapsed while the store was away may come back', async (t) => {
+  // The store was down and upstreams could not renew their entries, though they live. Dropping them
+  // all at its return would leave nothing to serve with.
+  const clock = newManualClock();
+  const directory = newDirectory(clock, silentLog);
+  directory.put(newEntry('a'));
+  directory.put(newEntry('b'));
+  directory.storeIsBack();
+  directory.drop('a');
+  directory.drop('b');
+  t.is(directory.all('models').length, 2);
+  directory.put(newEntry('a'));
+  await clock.advance(2_500);
+  t.deepEqual(
+    directory.all('models').map(({ id }) => id),
+    ['a'],
+  );
+});
+
+test('an entry that is dropped while the store is well is gone at once', (t) => {
+  // Some engines leave without a word: their entry goes, and they serve for two more seconds.
+  const directory = newDirectory(newManualClock(), silentLog);
+  directory.put(newEntry('a'));
+  directory.drop('a');
+  t.deepEqual(directory.all('models'), []);
+});
+
+test('an upstream that started again under its id is another run', (t) => {
+  // It knows nothing of before; connections and counts of the run before must not be used for it.
+  const directory = newDirectory(newManualClock(), silentLog);
+  const gone: number[] = [];
+  directory.onGone(({ startedAt }) => gone.push(startedAt));
+  directory.put(newEntry('a', { startedAt: 1 }));
+  directory.put(newEntry('a', { startedAt: 2 }));
+  t.deepEqual(gone, [1]);
+  t.is(directory.find('a')?.startedAt, 2);
+});
+
+test('every model has at least two engines, and loads are shared evenly', (t) => {
+  const models = ['x', 'y', 'z'];
+  const engines = ['a', 'b', 'c', 'd', 'e', 'f'];
+  const homes = planHomes(models, engines);
+  models.forEach((model) => t.is(homes.get(model)?.size, 2));
+  const counts = engines.map(
+    (engine) => models.filter((model) => homes.get(model)?.has(engine)).length,
+  );
+  t.is(Math.max(...counts), 1);
+});
+
+test('a lost engine moves the models that it had, and few others', (t) => {
+  const models = ['x', 'y', 'z'];
+  const engines = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i'];
+  const before = planHomes(models, engines);
+  const after = planHomes(models, engines.slice(1));
+  const kept = models.flatMap((model) =>
+    [...(after.get(model) ?? [])].filter((engine) => before.get(model)?.has(engine)),
+  );
+  t.true(kept.length >= 6, `${kept.length} of 9 stayed`);
+});
+
+test('engines of one model load one after the other', (t) => {
+  // An engine refuses new requests for a model while it loads it. Were all to load at once, every
+  // item of the model would wait for a second, at each step of its trainer.
+  const engines = ['a', 'b'].map((id) => newEntry(id, { models: [{ model: 'x', version: 1 }] }));
+  const newest = [{ model: 'x', version: 2, learnedAt: 1_000 }];
+  const first = findDueLoads(engines, newest, 1_010);
+  t.is(first.length, 1);
+  const loaded = engines.map((entry) =>
+    entry.id === first[0]?.entry.id ? { ...entry, models: [{ model: 'x', version: 2 }] } : entry,
+  );
+  const second = findDueLoads(loaded, newest, 2_000);
+  t.is(second.length, 1);
+  t.not(second[0]?.entry.id, first[0]?.entry.id);
+});
+
+test('an engine that never loads does not hold the others back', (t) => {
+  // The first engine is cut off from whoever orders it. The next one's turn comes all the same.
+  const engines = ['a', 'b'].map((id) => newEntry(id, { models: [{ model: 'x', version: 1 }] }));
+  const newest = [{ model: 'x', version: 2, learnedAt: 1_000 }];
+  t.is(findDueLoads(engines, newest, 4_000).length, 2);
+});
--- /dev/null
+++ b/packages/gateway/tests/helpers.ts
@@ -0,0 +1,108 @@
+import type Clock from '@cyclamengate/common/Clock';
+import BrokenAnswer from '@cyclamengate/engines/BrokenAnswer';
+import newDirectory from '@cyclamengate/engines/newDirectory';
+import newHealth from '@cyclamengate/engines/newHealth';
+import newLoads from '@cyclamengate/engines/newLoads';
+import UpstreamClient from '@cyclamengate/engines/UpstreamClient';
+import type { UpstreamOutcome, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
+import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
+import newCandidates from '../src/newCandidates.js';
+import type { RelayedRequest } from '../src/newPlainRelay.js';
+
+export const silentLog = { info: () => {}, warn: () => {}, error: () => {} };
+
+export const newEntry = (id: string): UpstreamEntry => ({
+  id,
+  service: 'portal',
+  host: '10.0.0.1',
+  port: 8_080,
+  failureDomain: 'detroit',
+  slots: 6,
+  isDraining: false,
+  isSpot: false,
+  startedAt: 1,
+  models: [],
+});
+
+/** How one upstream behaves: what it sends, piece by piece, or why nothing. */
+export type Behaviour = (request: UpstreamRequest, signal: AbortSignal) => Promise<UpstreamOutcome>;
+
+async function* pieces(texts: string[], isBroken: boolean): AsyncGenerator<Buffer> {
+  for (const text of texts) yield Buffer.from(text);
+  if (isBroken) throw new BrokenAnswer('reset');
+}
+
+export const answering =
+  (
+    texts: string[],
+    { status = 200, isBroken = false, version = null as number | null } = {},
+  ): Behaviour =>
+  async () => ({
+    type: 'answer',
+    answer: {
+      status,
+      headers: {},
+      signature: 'signed',
+      load: null,
+      version,
+      isEventStream: false,
+      body: pieces(texts, isBroken),
+    },
+  });
+
+export const refusing: Behaviour = async () => ({
+  type: 'fault',
+  fault: { type: 'not-run', reason: 'full', isUnreachable: false, load: null },
+});
+
+export const breaking: Behaviour = async () => ({
+  type: 'fault',
+  fault: { type: 'unknown', reason: 'reset' },
+});
+
+/** Takes the request and never answers; ends when the request is ended. */
+export const silent: Behaviour = (_request, signal) =>
+  new Promise((resolve) => {
+    signal.addEventListener('abort', () =>
+      resolve({ type: 'fault', fault: { type: 'unknown', reason: 'ended' } }),
+    );
+  });
+
+/** Upstreams with given behaviours, and the parts that a relay needs. */
+export const newUpstreams = (clock: Clock, behaviours: Record<string, Behaviour>) => {
+  const sent: { upstream: string; request: UpstreamRequest; signal: AbortSignal }[] = [];
+
+  class FakeClient extends UpstreamClient {
+    send(entry: UpstreamEntry, request: UpstreamRequest, _by: number, signal: AbortSignal) {
+      sent.push({ upstream: entry.id, request, signal });
+      return (behaviours[entry.id] ?? refusing)(request, signal);
+    }
+
+    forget(): void {}
+  }
+  const directory = newDirectory(clock, silentLog);
+  Object.keys(behaviours).forEach((id) => directory.put(newEntry(id)));
+  const health = newHealth(clock, silentLog);
+  const loads = newLoads(clock);
+  const candidates = newCandidates({ directory, health, loads, failureDomain: 'detroit' });
+  return { sent, directory, health, loads, candidates, client: new FakeClient() };
+};
+
+export const newRequest = (
+  clock: Clock,
+  changes: Partial<RelayedRequest> = {},
+): RelayedRequest => ({
+  requestId: 'r1',
+  method: 'POST',
+  path: '/lookup/1',
+  hostName: 'parts.example',
+  headers: {},
+  body: Buffer.from('{}'),
+  customer: 'museum',
+  lastEventId: null,
+  service: 'portal',
+  isIdempotent: true,
+  mostUpstreams: 3,
+  deadline: clock.now() + 1_500,
+  ...changes,
+});
--- /dev/null
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -0,0 +1,81 @@
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import test from 'ava';
+import newPlainRelay from '../src/newPlainRelay.js';
+import {
+  answering,
+  breaking,
+  newRequest,
+  newUpstreams,
+  refusing,
+  silent,
+  silentLog,
+} from './helpers.js';
+import type { Behaviour } from './helpers.js';
+
+const newParts = (behaviours: Record<string, Behaviour>) => {
+  const clock = newManualClock();
+  const upstreams = newUpstreams(clock, behaviours);
+  const relay = newPlainRelay({ clock, log: silentLog, ...upstreams });
+  return { clock, relay, ...upstreams };
+};
+
+const never = new AbortController().signal;
+
+test('a silent upstream costs a repeatable request a fraction of its time', async (t) => {
+  // An engine goes dark behind an open connection. A counter clerk would wait until the deadline.
+  const { clock, relay, sent } = newParts({ dark: silent, well: answering(['ok']) });
+  const outcome = relay(newRequest(clock), never);
+  await clock.advance(150);
+  const result = await outcome;
+  t.is(result.type, 'answer');
+  t.true(sent.every(({ signal, upstream }) => upstream === 'well' || signal.aborted));
+});
+
+test('a request that may run once is never sent again after it may have run', async (t) => {
+  // The engine takes a deposit and its answer is lost. Sent again, the deposit is taken twice.
+  const { clock, relay, sent } = newParts({ one: breaking, two: breaking });
+  const result = await relay(newRequest(clock, { isIdempotent: false }), never);
+  t.is(sent.length, 1);
+  t.true(result.type === 'refusal' && result.refusal.status === 502 && result.hasRun);
+});
+
+test('a request that may run once goes on where it certainly did not run', async (t) => {
+  // The first engine is full and says that it did not run the request.
+  const { clock, relay, sent } = newParts({ full: refusing, well: answering(['ok']) });
+  const result = await relay(newRequest(clock, { isIdempotent: false }), never);
+  t.is(result.type, 'answer');
+  t.true(sent.length <= 2);
+});
+
+test('"not run" is said only when nothing ran, at once, and with a time to come back', async (t) => {
+  // All engines are full. The caller learns so without waiting and comes back.
+  const { clock, relay } = newParts({ one: refusing, two: refusing });
+  const result = await relay(newRequest(clock), never);
+  t.true(result.type === 'refusal' && result.refusal.status === 503 && !result.hasRun);
+  t.true(result.type === 'refusal' && (result.refusal.retryAfterMs ?? 0) > 0);
+});
+
+test('an answer that broke off is not taken for whole', async (t) => {
+  // The connection is reset in the middle of an answer; passed on, it would look complete.
+  const { clock, relay } = newParts({
+    broken: answering(['ha'], { isBroken: true }),
+    other: answering(['ha'], { isBroken: true }),
+  });
+  const result = await relay(newRequest(clock), never);
+  t.true(result.type === 'refusal' && result.refusal.status === 502);
+});
+
+test('no more upstreams are tried than the route allows', async (t) => {
+  const { clock, relay, sent } = newParts({ a: breaking, b: breaking, c: breaking, d: breaking });
+  await relay(newRequest(clock, { mostUpstreams: 2 }), never);
+  t.is(sent.length, 2);
+});
+
+test('at its deadline a request gets its answer', async (t) => {
+  // All engines are silent. The caller is told at its deadline, not later.
+  const { clock, relay } = newParts({ a: silent, b: silent });
+  const outcome = relay(newRequest(clock, { deadline: clock.now() + 400 }), never);
+  await clock.advance(410);
+  const result = await outcome;
+  t.true(result.type === 'refusal' && result.refusal.status === 504);
+});
