--- /dev/null
+++ b/apps/host/tests/batchHelpers.ts
@@ -0,0 +1,57 @@
+import { HOST_NAME, MODEL } from '@cyclamengate/app-platform-standin/newPlatform';
+import { eventsOf } from '@cyclamengate/app-platform-standin/newEngineServer';
+import { send, until } from './newHosts.js';
+import type { Answer, TestHost } from './newHosts.js';
+
+export interface Page {
+  total: number;
+  'next-token': number;
+  results: { id: string; state: string; text: string; versions: number[]; score?: string }[];
+}
+
+/** The body of a batch: groups of items that share a prompt, each with a scoring call. */
+export const batchBody = (name: string, groups: number, size: number, leastVersion = 1): string =>
+  JSON.stringify({
+    'train-step': 1,
+    model: MODEL,
+    'min-version': leastVersion,
+    desired: groups,
+    entries: Array.from({ length: groups * size }, (_, index) => ({
+      id: `${name}-${index}`,
+      path: `/rounds/${name}/${index}`,
+      headers: { Model: MODEL, 'Token-Count': '100,400', 'Length-Hint': '300' },
+      body: Buffer.from(`prompt ${index}`).toString('base64'),
+      tokens: 500,
+      group: `${name}-g${Math.floor(index / size)}`,
+      scorer: {
+        id: `${name}-score-${index}`,
+        host: HOST_NAME,
+        path: `/lookup/score/${index}`,
+        body: Buffer.from('{}').toString('base64'),
+      },
+    })),
+  });
+
+export const submit = (host: TestHost, id: string, body: string): Promise<Answer> =>
+  send(host, 'POST', '/rounds/', { id, body });
+
+export const readPage = async (host: TestHost, id: string, from = 0): Promise<Page | null> => {
+  const answer = await send(host, 'GET', `/v1/lots/${id}?after=${from}`, {
+    headers: { 'wait-ms': '300' },
+  });
+  return answer.status === 200 ? (JSON.parse(answer.body) as Page) : null;
+};
+
+/** Reads until every item has a result. */
+export const readWhole = async (host: TestHost, id: string): Promise<Page> => {
+  let page: Page | null = null;
+  await until(async () => {
+    page = await readPage(host, id).catch(() => null);
+    return page !== null && page.results.length === page.total;
+  });
+  return page as unknown as Page;
+};
+
+/** The text that an item has, whichever engines made it. */
+export const textOf = (item: string): string =>
+  Array.from({ length: eventsOf(item) }, (_, index) => `${item}/${index + 1}`).join('\n');
--- /dev/null
+++ b/apps/host/tests/newHosts.ts
@@ -0,0 +1,164 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import type { Platform } from '@cyclamengate/app-platform-standin/newPlatform';
+import { CUSTOMER_KEY, HOST_NAME } from '@cyclamengate/app-platform-standin/newPlatform';
+import { request as httpRequest } from 'undici';
+import { stringify } from 'yaml';
+
+const PROGRAM = fileURLToPath(new URL('../src/main.js', import.meta.url));
+const START_MS = 15_000;
+
+const freePort = async (): Promise<number> => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+};
+
+/** One host's process. */
+export interface TestHost {
+  name: string;
+  callers: string;
+  readiness: string;
+  child: ChildProcess;
+  /** Events that it logged, oldest first. */
+  events: Record<string, unknown>[];
+  /** Sends a signal and waits until the process is gone. */
+  end: (signal: NodeJS.Signals) => Promise<void>;
+}
+
+export interface Answer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+}
+
+export const send = async (
+  host: TestHost,
+  method: 'GET' | 'POST' | 'DELETE',
+  path: string,
+  options: {
+    id?: string;
+    key?: string | null;
+    body?: string;
+    headers?: Record<string, string>;
+  } = {},
+): Promise<Answer> => {
+  const { id = 'r1', key = CUSTOMER_KEY, body, headers = {} } = options;
+  const answer = await httpRequest(`http://${host.callers}${path}`, {
+    method,
+    body: body ?? null,
+    reset: true,
+    headers: {
+      host: HOST_NAME,
+      'attempt-id': id,
+      ...(key === null ? {} : { 'x-api-key': key }),
+      ...headers,
+    },
+  });
+  return {
+    status: answer.statusCode,
+    headers: answer.headers,
+    body: await answer.body.text(),
+  };
+};
+
+/** Waits for a condition; a test's own timeout ends a wait that never succeeds. */
+export const until = async (isTrue: () => Promise<boolean> | boolean): Promise<void> => {
+  while (!(await isTrue())) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 25);
+    });
+  }
+};
+
+export const isReady = async ({ readiness }: TestHost): Promise<boolean> => {
+  try {
+    const answer = await httpRequest(`http://${readiness}/v1/readyz`, { reset: true });
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  } catch {
+    return false;
+  }
+};
+
+/** Starts hosts as separate processes against a stand-in platform; ends only these. */
+export const newHosts = async (platform: Platform, domains: string[]) => {
+  const folder = await mkdtemp(join(tmpdir(), 'cyclamengate-hosts-'));
+  const hosts: TestHost[] = [];
+
+  const start = async (name: string, failureDomain: string): Promise<TestHost> => {
+    const [callers, readiness, metrics] = [await freePort(), await freePort(), await freePort()];
+    const path = join(folder, `${name}.yaml`);
+    const settings = {
+      host: name,
+      failureDomain,
+      address: '127.0.0.1',
+      listen: {
+        callers: `127.0.0.1:${callers}`,
+        readiness: `127.0.0.1:${readiness}`,
+        metricsPort: metrics,
+      },
+      store: { address: platform.store.address },
+      duties: { address: platform.duties.address },
+      terms: {
+        leaseMs: 3_000,
+        shutdownSeconds: 8,
+        usageWindowSeconds: 1,
+        batchLifeSeconds: 120,
+        contactMs: 3_000,
+      },
+    };
+    await writeFile(path, stringify(settings));
+    const child = spawn(process.execPath, [PROGRAM, '--settings', path], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const events: Record<string, unknown>[] = [];
+    let rest = '';
+    child.stdout?.on('data', (chunk: Buffer) => {
+      const lines = (rest + chunk.toString()).split('\n');
+      rest = lines.pop() ?? '';
+      events.push(...lines.map((line) => JSON.parse(line) as Record<string, unknown>));
+    });
+    const end = async (signal: NodeJS.Signals): Promise<void> => {
+      if (child.exitCode !== null || child.signalCode !== null) return;
+      const exited = once(child, 'exit');
+      child.kill(signal);
+      await exited;
+    };
+    const host = {
+      name,
+      callers: settings.listen.callers,
+      readiness: settings.listen.readiness,
+      child,
+      events,
+      end,
+    };
+    hosts.push(host);
+    return host;
+  };
+
+  await Promise.all(domains.map((domain, index) => start(`host-${index}`, domain)));
+  const deadline = Date.now() + START_MS;
+  await until(async () => {
+    const ready = await Promise.all(hosts.map(isReady));
+    return ready.every(Boolean) || Date.now() > deadline;
+  });
+  return {
+    hosts,
+    start,
+    close: async (): Promise<void> => {
+      await Promise.all(hosts.map(({ end }) => end('SIGKILL')));
+      await rm(folder, { recursive: true });
+    },
+  };
+};
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -5,6 +5,7 @@
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
+import { versionOf } from '@cyclamengate/engines/upstreamEntry';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { Candidates } from '@cyclamengate/gateway/newCandidates';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
@@ -178,6 +179,16 @@
     task.runs += 1;
     loads.begin(entry.id);
     const { progress } = task;
+    log.info('item.started', {
+      requestId: item.id,
+      batch: batch.id,
+      upstream: entry.id,
+      load: loads.at(entry.id),
+      slots: entry.slots,
+      version: batch.model === null ? null : versionOf(entry, batch.model),
+      lastEventId: progress.lastEventId,
+      run: task.runs,
+    });
     const retentionMs = route?.retentionMs ?? 0;
     const age = clock.wallTime() - batch.acceptedAt;
     const end = await runOnce({
