--- a/apps/host/tests/wholePath.process.test.ts
+++ b/apps/host/tests/wholePath.process.test.ts
@@ -18,7 +18,7 @@
   return { platform, system, first, second, third, close };
 };
 
-test('a batch is run, scored, and read alike at every host', async (t) => {
+test.serial('a batch is run, scored, and read alike at every host', async (t) => {
   const { platform, first, second, third, close } = await newSystem();
   t.is((await submit(first, 'b1', batchBody('b1', 3, 4))).status, 202);
   t.is((await submit(second, 'b1', batchBody('b1', 3, 4))).status, 202);
@@ -42,7 +42,7 @@
   await close();
 });
 
-test('requests run for the customer of their key, and only at their route', async (t) => {
+test.serial('requests run for the customer of their key, and only at their route', async (t) => {
   const { platform, first, second, close } = await newSystem(1);
   const answer = await send(first, 'POST', '/lookup/7', { id: 'q1', body: 'hello' });
   t.is(answer.status, 200);
@@ -58,7 +58,7 @@
   await close();
 });
 
-test('a withdrawn key stops working on every host', async (t) => {
+test.serial('a withdrawn key stops working on every host', async (t) => {
   // The operator withdraws a key while its callers are connected.
   const { platform, first, second, third, close } = await newSystem(1);
   platform.publish('config', { ...newOperatorSettings(2), tenants: [] });
@@ -76,7 +76,7 @@
   await close();
 });
 
-test('named versions reach the engines, and texts say which made them', async (t) => {
+test.serial('named versions reach the engines, and texts say which made them', async (t) => {
   const { platform, first, close } = await newSystem();
   platform.nameVersion(2);
   await until(
@@ -90,7 +90,7 @@
   await close();
 });
 
-test('usage is reported once a window, by one host, with what ran', async (t) => {
+test.serial('usage is reported once a window, by one host, with what ran', async (t) => {
   const { platform, first, second, close } = await newSystem(1);
   await until(() => platform.reports.length > 0);
   for (let index = 0; index < 6; index += 1) {
@@ -109,7 +109,7 @@
   await close();
 });
 
-test('a batch goes on when the host that runs it is killed', async (t) => {
+test.serial('a batch goes on when the host that runs it is killed', async (t) => {
   // The host that runs a batch dies in the middle of it. Its trainer reads at another host and
   // notices a pause, no more: nothing is lost, nothing stands twice.
   const { platform, system, first, close } = await newSystem();
@@ -133,7 +133,7 @@
   await close();
 });
 
-test('texts that an engine breaks off go on at another one', async (t) => {
+test.serial('texts that an engine breaks off go on at another one', async (t) => {
   // One engine resets every stream after two events. Its items go on elsewhere after their last
   // event: no event is missing or stands twice.
   const { platform, first, close } = await newSystem();
@@ -147,7 +147,7 @@
   await close();
 });
 
-test('an answer to another request is never taken', async (t) => {
+test.serial('an answer to another request is never taken', async (t) => {
   // An engine's answers come crossed: each bears another request's id.
   const { platform, first, close } = await newSystem();
   const [crossed] = platform.engines;
@@ -158,7 +158,7 @@
   await close();
 });
 
-test('while the store is away nothing false is said, and all goes on at its return', async (t) => {
+test.serial('while the store is away nothing false is said, and all goes on at its return', async (t) => {
   // The store goes silent in the middle of a batch. Reads of what is not there must not say that it
   // does not exist, a new batch must not be called accepted, and results come after its return.
   const { platform, first, second, close } = await newSystem();
@@ -173,7 +173,7 @@
   await close();
 });
 
-test('a batch whose append lands late is not called refused', async (t) => {
+test.serial('a batch whose append lands late is not called refused', async (t) => {
   // The store takes the batch seconds after its answer was due. "Not run" would have been false.
   const { platform, first, second, close } = await newSystem();
   platform.store.faults.lateAppends = 1;
@@ -185,7 +185,7 @@
   await close();
 });
 
-test('a host that is stopped is no longer ready, and cuts off no request', async (t) => {
+test.serial('a host that is stopped is no longer ready, and cuts off no request', async (t) => {
   // The platform stops hosts in turn. Callers whose requests are under way get their answers.
   const { first, close } = await newSystem(1);
   const asked = Array.from({ length: 8 }, (_, index) =>
