--- a/scripts/faults.js
+++ b/scripts/faults.js
@@ -27,7 +27,8 @@
 };
 
 const readTitles = async () => {
-  const files = [...(await findTests('packages')), ...(await findTests('apps'))];
+  const folders = ['packages', 'apps', 'platform'];
+  const files = (await Promise.all(folders.map(findTests))).flat();
   const titles = await Promise.all(
     files.map(async (file) =>
       [...(await readFile(file, 'utf8')).matchAll(TITLE)].map(([, , title]) => ({ title, file })),
