Keep items running while the store is away for all; a caller's haste tells nothing of an upstream

And requests whose own time is shorter than the work rested good upstreams: the timer fires a millisecond before the deadline. Ruled out: the writer (appends were back at once) and the engines (none failed then).

--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -9,6 +9,7 @@
 import type { LeaseKeeper } from '@cyclamengate/hosts/newLeaseKeeper';
 import newLeases from '@cyclamengate/hosts/newLeases';
 import newMembers from '@cyclamengate/hosts/newMembers';
+import newOwnership from '@cyclamengate/hosts/newOwnership';
 import newUsageCounts from '@cyclamengate/hosts/newUsageCounts';
 import type { UsageMeter } from '@cyclamengate/hosts/newUsageMeter';
 import newStoreWriter from '@cyclamengate/store/newStoreWriter';
@@ -183,7 +184,7 @@
     isFresh,
     newKeeper,
     heartbeat,
-    isFirst: (subject: string): boolean => isFresh() && rank(subject)[0] === host,
+    owns: newOwnership({ clock, host, rank, isFresh }),
     /** Requests that other hosts run at each upstream, by their newest heartbeats. */
     othersRunning: (): Record<string, number> =>
       members
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -93,7 +93,7 @@
     loads,
     scorer: newItemScorer({ clock, log, relay, readSettings: view.read }),
     readSettings: view.read,
-    isOwner: (subject) => !isLeaving && coordination.isFirst(`batches/${subject}`),
+    isOwner: (subject) => !isLeaving && coordination.owns(`batches/${subject}`),
     isFresh: () => clock.now() < batchStore.freshAt() + FRESH_TO_START_MS,
     isListed: (id) => directory.find(id) !== undefined,
     incarnation,
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -17,6 +17,8 @@
 const HEDGE_PACES = 2.5;
 /** Half of the usual target of 190 ms; most calls take 45 ms, one in a hundred 180 ms. */
 const SHORTEST_HEDGE_MS = 100;
+/** Timers fire up to a millisecond early, and some late. */
+const TIMER_SLACK_MS = 5;
 /** A request that may not be repeated is given up only at its deadline; others sooner. */
 const SILENT_MS = 1_000;
 
@@ -83,7 +85,8 @@
         const { fault } = outcome;
         const isUnwell = fault.type === 'unknown' || fault.isUnreachable;
         // A deadline that passes early tells of the caller's haste, not of the upstream.
-        const isHasty = clock.now() >= request.deadline && clock.now() < startedAt + SILENT_MS;
+        const isHasty =
+          clock.now() >= request.deadline - TIMER_SLACK_MS && clock.now() < startedAt + SILENT_MS;
         if (isUnwell && !isHasty && !signal.aborted) health.failed(entry.id, fault.reason);
         return fault.type === 'not-run'
           ? { type: 'not-run', reason: fault.reason }
@@ -215,7 +218,7 @@
       const upstream = lastUpstream;
       return finish({ type: 'answer', answer: lastFailure, upstream, upstreams: tried.size });
     }
-    const isLate = clock.now() >= request.deadline;
+    const isLate = clock.now() >= request.deadline - TIMER_SLACK_MS;
     const refusal = hasRun
       ? uncertain(isLate ? 'deadline' : 'upstream-failed', isLate ? 504 : 502)
       : notRun('no-upstream', NO_UPSTREAM_RETRY_MS);
--- a/packages/gateway/tests/newPlainRelay.test.ts
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -12,8 +12,7 @@
 } from './helpers.js';
 import type { Behaviour } from './helpers.js';
 
-const newParts = (behaviours: Record<string, Behaviour>) => {
-  const clock = newManualClock();
+const newParts = (behaviours: Record<string, Behaviour>, clock = newManualClock()) => {
   const upstreams = newUpstreams(clock, behaviours);
   const relay = newPlainRelay({ clock, log: silentLog, ...upstreams });
   return { clock, relay, ...upstreams };
@@ -79,3 +78,19 @@
   const result = await outcome;
   t.true(result.type === 'refusal' && result.refusal.status === 504);
 });
+
+test("a caller's short deadline tells nothing of the upstream", async (t) => {
+  // A caller allows less time than the work takes. The upstream is well; resting it would take a
+  // third of the service away from all other callers.
+  const clock = newManualClock();
+  const hasty: Behaviour = async (request) => {
+    while (clock.now() < (request.deadline ?? 0) - 1) await clock.sleepUntil(clock.now() + 1);
+    return { type: 'fault', fault: { type: 'unknown', reason: 'no answer in time' } };
+  };
+  const { relay, health } = newParts({ one: hasty }, clock);
+  const outcome = relay(newRequest(clock, { deadline: clock.now() + 90 }), never);
+  await clock.advance(95);
+  const result = await outcome;
+  t.true(result.type === 'refusal' && result.refusal.status === 504);
+  t.false(health.isResting('one'));
+});
