--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -16,6 +16,7 @@
 import type { EventReader } from './EventReader.js';
 import findMoves from './findMoves.js';
 import type { Batches, BatchState } from './newBatches.js';
+import newItemFinisher from './newItemFinisher.js';
 import type { ItemScorer } from './newItemScorer.js';
 import newPartSaver from './newPartSaver.js';
 import newTaskList from './newTaskList.js';
@@ -33,7 +34,6 @@
 /** First pause of an item after a failed run; doubles. */
 const FIRST_PAUSE_MS = 30;
 const LONGEST_PAUSE_MS = 800;
-const WRITE_TIMEOUT_MS = 10_000;
 /** How much text a dead host takes with it: 20 events of 35 ms. */
 const SAVE_EVERY_MS = 700;
 
@@ -66,8 +66,9 @@
 const newBatchRunner = (options: BatchRunnerOptions) => {
   const { clock, log, batches, client, candidates, health, loads, scorer, write } = options;
   const { newEventReader, readSettings, isOwner, isFresh, isListed } = options;
-  const tasks = newTaskList({ clock, findText: batches.findText });
+  const tasks = newTaskList({ clock, log, findText: batches.findText });
   const savePart = newPartSaver({ clock, writer: options.incarnation, write: options.writePart });
+  const { abandon, score } = newItemFinisher({ clock, log, scorer, write });
   const refusals = newRefusals(clock);
   const notifier = newNotifier(clock);
   let savePartsAt = -Infinity;
@@ -75,50 +76,6 @@
   const routeOf = ({ batch }: BatchState): Route | undefined =>
     readSettings()?.settings.routes.find(({ name }) => name === batch.route);
 
-  const finish = async (task: ItemTask, result: Omit<ItemResult, 'type' | 'batch' | 'item'>) => {
-    const { state, item } = task;
-    task.phase = 'writing';
-    const record = { type: 'result' as const, batch: state.batch.id, item: item.id, ...result };
-    let outcome: WriteOutcome = 'not-written';
-    while (outcome !== 'written' && !task.controller.signal.aborted) {
-      outcome = await write(record, clock.now() + WRITE_TIMEOUT_MS);
-    }
-    log.info('item.finished', {
-      batch: state.batch.id,
-      requestId: item.id,
-      state: result.state,
-      versions: result.versions,
-      events: task.progress.events.length,
-      runs: task.runs,
-      tookMs: Math.round(clock.now() - task.createdAt),
-      outcome,
-    });
-  };
-
-  const abandon = (task: ItemTask, reason: string): Promise<void> => {
-    log.warn('item.abandoned', { requestId: task.item.id, batch: task.state.batch.id, reason });
-    return finish(task, { state: 'abandoned', text: '', versions: [], score: null });
-  };
-
-  const score = async (task: ItemTask): Promise<void> => {
-    task.phase = 'scoring';
-    task.textAt = clock.now();
-    const { scoring } = task.item;
-    const outcome = scoring ? await scorer(scoring, task.controller.signal) : null;
-    if (outcome?.type === 'ended') return;
-    if (outcome?.type === 'hopeless') {
-      await abandon(task, 'scoring failed too often');
-      return;
-    }
-    const { events, versions } = task.progress;
-    await finish(task, {
-      state: 'completed',
-      text: events.join('\n'),
-      versions,
-      score: outcome?.score ?? null,
-    });
-  };
-
   const putBack = (task: ItemTask, pauseMs: number): void => {
     task.phase = 'waiting';
     task.notBefore = clock.now() + pauseMs;
--- a/packages/batches/src/newTaskList.ts
+++ b/packages/batches/src/newTaskList.ts
@@ -1,4 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Item } from './batchRecord.js';
 import type { BatchState, EarlierText } from './newBatches.js';
 import type { WaitingItem } from './planStarts.js';
@@ -45,6 +46,7 @@
 
 export interface TaskListOptions {
   clock: Clock;
+  log: EventLog;
   /** Text of an item as the log has it. */
   findText: (item: string) => EarlierText | null;
 }
@@ -57,7 +59,7 @@
 const keyOf = (state: BatchState, item: string): string => `${state.batch.id}/${item}`;
 
 /** The items that this host has to run, with how far each is. */
-const newTaskList = ({ clock, findText }: TaskListOptions) => {
+const newTaskList = ({ clock, log, findText }: TaskListOptions) => {
   const tasks = new Map<string, ItemTask>();
   /** Texts that were under way when their batch ended; their groups may come again. */
   const parts = new Map<string, EarlierText>();
@@ -120,6 +122,17 @@
   };
 
   const end = (task: ItemTask): void => {
+    const { state, item, phase, progress } = task;
+    // An item with a result ends here as well; its result has a line of its own.
+    if (!state.finished.has(item.id)) {
+      log.info('item.dropped', {
+        requestId: item.id,
+        batch: state.batch.id,
+        isBatchEnded: state.isEnded,
+        phase,
+        events: progress.events.length,
+      });
+    }
     task.controller.abort('no longer wanted here');
     tasks.delete(task.key);
     keepPart(task);
--- a/packages/batches/tests/newPartTexts.test.ts
+++ b/packages/batches/tests/newPartTexts.test.ts
@@ -5,7 +5,7 @@
 import newPartSaver from '../src/newPartSaver.js';
 import newPartTexts from '../src/newPartTexts.js';
 import newTaskList from '../src/newTaskList.js';
-import { newBatch, newItem } from './helpers.js';
+import { newBatch, newItem, silentLog } from './helpers.js';
 
 const part = (
   writer: string,
@@ -61,7 +61,7 @@
   const batches = newBatches({ clock, lifeMs: 120_000 });
   batches.apply(newBatch('b', [newItem('1'), newItem('2')]));
   batches.apply(part('dead', 0, ['1', '2']));
-  const tasks = newTaskList({ clock, findText: batches.findText });
+  const tasks = newTaskList({ clock, log: silentLog, findText: batches.findText });
   const [first, second] = tasks.reconcile(batches.open());
   t.deepEqual(first?.progress, { events: ['1', '2'], lastEventId: '2', versions: [1] });
   t.is(first?.phase, 'waiting');
@@ -73,7 +73,7 @@
   const batches = newBatches({ clock, lifeMs: 120_000 });
   batches.apply(newBatch('b', [newItem('1')]));
   batches.apply(part('dead', 0, ['1', '2'], { isWhole: true }));
-  const tasks = newTaskList({ clock, findText: batches.findText });
+  const tasks = newTaskList({ clock, log: silentLog, findText: batches.findText });
   t.is(tasks.reconcile(batches.open())[0]?.phase, 'scoring');
 });
 
@@ -85,7 +85,7 @@
   batches.apply(part('a', 0, ['1', '2'], { versions: [1, 2] }));
   batches.apply({ type: 'batch-end', batch: 'b' });
   batches.apply(newBatch('c', [newItem('1')], { leastVersion: 2 }));
-  const tasks = newTaskList({ clock, findText: batches.findText });
+  const tasks = newTaskList({ clock, log: silentLog, findText: batches.findText });
   t.deepEqual(tasks.reconcile(batches.open())[0]?.progress.events, []);
 });
 
@@ -94,7 +94,7 @@
   const clock = newManualClock();
   const batches = newBatches({ clock, lifeMs: 120_000 });
   batches.apply(newBatch('b', [newItem('1')]));
-  const tasks = newTaskList({ clock, findText: batches.findText });
+  const tasks = newTaskList({ clock, log: silentLog, findText: batches.findText });
   const [task] = tasks.reconcile(batches.open());
   if (!task) throw new Error('no task');
   const written: Part[] = [];
