--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -221,6 +221,18 @@
     });
   };
 
+  /**
+   * A host that has just started reads the log from its beginning, and meets texts of batches whose
+   * end it has not read yet. Scored at once, they would be scored after their end.
+   */
+  const scoreRestored = (): void => {
+    if (!isFresh()) return;
+    tasks
+      .all()
+      .filter(({ phase }) => phase === 'restored')
+      .forEach(score);
+  };
+
   const moveRunning = (): void => {
     const running = tasks.running();
     if (running.length === 0) return;
@@ -256,9 +268,8 @@
 
   const tick = (): void => {
     const mine = batches.open().filter((state) => isOwner(subjectOf(state)));
-    tasks.reconcile(mine).forEach((task) => {
-      if (task.phase === 'scoring') score(task);
-    });
+    tasks.reconcile(mine);
+    scoreRestored();
     startWaiting();
     moveRunning();
     saveParts();
--- a/packages/batches/src/newTaskList.ts
+++ b/packages/batches/src/newTaskList.ts
@@ -19,7 +19,8 @@
   key: string;
   state: BatchState;
   item: Item;
-  phase: 'waiting' | 'running' | 'scoring' | 'writing';
+  /** `restored`: its text is whole from the log, and its score is still to be asked for. */
+  phase: 'restored' | 'waiting' | 'running' | 'scoring' | 'writing';
   progress: Progress;
   createdAt: number;
   /** Events that stand in the log. */
@@ -94,7 +95,7 @@
       key: keyOf(state, item.id),
       state,
       item,
-      phase: text?.isWhole ? 'scoring' : 'waiting',
+      phase: text?.isWhole ? 'restored' : 'waiting',
       progress: text?.progress ?? newProgress(),
       createdAt: clock.now(),
       saved: 0,
