--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -5,6 +5,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import newId from '@cyclamengate/common/newId';
+import parseRecord from '@cyclamengate/common/parseRecord';
 import { restore } from '@cyclamengate/common/restore';
 import newStoreWriter from '@cyclamengate/store/newStoreWriter';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
@@ -24,14 +25,6 @@
   lifeMs: number;
 }
 
-const parse = (body: Buffer): unknown => {
-  try {
-    return JSON.parse(body.toString()) as unknown;
-  } catch {
-    return null;
-  }
-};
-
 /** Batches, followed in the store, and the way to write to them. */
 const newBatchStore = ({ clock, log, store, incarnation, lifeMs }: BatchStoreOptions) => {
   const batches = newBatches({ clock, lifeMs });
@@ -39,7 +32,7 @@
 
   const apply = (records: StoredRecord[]): void =>
     records.forEach(({ offset, body }) => {
-      const raw = assemble(parse(body));
+      const raw = assemble(parseRecord(body));
       if (raw === null) return;
       const restored = restore(batchRecordSchema, raw);
       if (restored.ok) batches.apply(restored.val);
--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -1,6 +1,7 @@
 import assertNever from '@cyclamengate/common/assertNever';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import parseRecord from '@cyclamengate/common/parseRecord';
 import rendezvousRank from '@cyclamengate/common/rendezvousRank';
 import { restore } from '@cyclamengate/common/restore';
 import { coordinationRecordSchema } from '@cyclamengate/hosts/coordinationRecord';
@@ -44,14 +45,6 @@
   isLeaving: () => boolean;
 }
 
-const parse = (body: Buffer): unknown => {
-  try {
-    return JSON.parse(body.toString()) as unknown;
-  } catch {
-    return null;
-  }
-};
-
 /** What hosts agree on through the store: who is there, who holds which lease, usage. */
 const newCoordination = (options: CoordinationOptions) => {
   const { clock, log, store, host, incarnation, failureDomain, leaseMs, meter } = options;
@@ -89,7 +82,7 @@
 
   const apply = (records: StoredRecord[]): void =>
     records.forEach(({ offset, body }) => {
-      const restored = restore(coordinationRecordSchema, parse(body));
+      const restored = restore(coordinationRecordSchema, parseRecord(body));
       if (restored.ok) applyRecord(restored.val, offset);
       else log.warn('coordination.unreadable', { offset, problems: restored.val.slice(0, 3) });
     });
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -36,6 +36,8 @@
 const LONGEST_PAUSE_MS = 800;
 /** How much text a dead host takes with it: 20 events of 35 ms. */
 const SAVE_EVERY_MS = 700;
+/** An item that moved stays so long, until its new engine's pace is known: about 25 events. */
+const MOVE_PAUSE_MS = 1_000;
 
 export interface BatchRunnerOptions {
   clock: Clock;
@@ -196,7 +198,7 @@
 
   const startWaiting = (): void => {
     const waiting = tasks.waiting();
-    if (waiting.length === 0 || !isFresh()) return;
+    if (waiting.length === 0) return;
     const byService = new Map<string, ItemTask[]>();
     waiting.forEach((task) => {
       const route = routeOf(task.state);
@@ -212,7 +214,7 @@
       const plan = planStarts(
         list.map((task) => tasks.describe(task, routeOf(task.state)?.isSingleVersion ?? false)),
         candidates(service),
-        (id, model) => refusals.isRefusing(id, model),
+        refusals.isRefusing,
       );
       plan.forEach(({ key, candidate }) => {
         const task = tasks.get(key);
@@ -221,16 +223,21 @@
     });
   };
 
-  /**
-   * A host that has just started reads the log from its beginning, and meets texts of batches whose
-   * end it has not read yet. Scored at once, they would be scored after their end.
-   */
-  const scoreRestored = (): void => {
-    if (!isFresh()) return;
+  const scoreRestored = (): void =>
     tasks
       .all()
       .filter(({ phase }) => phase === 'restored')
       .forEach(score);
+
+  /**
+   * Begins what may begin, on a fresh view only. A host that has just started reads the log from its
+   * beginning, and meets batches whose end it has not read yet: their items would run, and their
+   * texts be scored, after their end.
+   */
+  const beginWork = (): void => {
+    if (!isFresh()) return;
+    scoreRestored();
+    startWaiting();
   };
 
   const moveRunning = (): void => {
@@ -242,7 +249,7 @@
       const isLeaving = (id: string): boolean => !known.some(({ entry }) => entry.id === id);
       const moves = findMoves(
         running
-          .filter(({ movedAt }) => clock.now() > movedAt + 1_000)
+          .filter(({ movedAt }) => clock.now() > movedAt + MOVE_PAUSE_MS)
           .map((task) => ({
             key: task.key,
             upstream: task.upstream ?? '',
@@ -269,8 +276,7 @@
   const tick = (): void => {
     const mine = batches.open().filter((state) => isOwner(subjectOf(state)));
     tasks.reconcile(mine);
-    scoreRestored();
-    startWaiting();
+    beginWork();
     moveRunning();
     saveParts();
   };
