--- a/apps/host/src/newDuties.ts
+++ b/apps/host/src/newDuties.ts
@@ -1,3 +1,4 @@
+import type { Connections } from '@cyclamengate/adapter/newConnections';
 import newHttpUpstreamOrders from '@cyclamengate/adapter/newHttpUpstreamOrders';
 import newHttpUsageReports from '@cyclamengate/adapter/newHttpUsageReports';
 import newHttpWeightOrders from '@cyclamengate/adapter/newHttpWeightOrders';
@@ -25,6 +26,7 @@
   failureDomain: string;
   /** Of the platform's interface for reports and orders. */
   address: string;
+  connections: Connections;
   windowMs: number;
   coordination: Coordination;
   newKeeper: Coordination['newKeeper'];
@@ -37,7 +39,8 @@
 
 /** What one host does for all at a time, under leases: usage reports, and orders to engines. */
 const newDuties = (options: DutiesOptions) => {
-  const { clock, log, host, failureDomain, address, windowMs, coordination } = options;
+  const { clock, log, host, failureDomain, address, connections, windowMs } = options;
+  const { coordination } = options;
   const { newKeeper, directory, readSettings, newestVersion, openItems } = options;
   const usageLease = newKeeper('usage', null);
   const enginesLease = newKeeper(`engines/${failureDomain}`, failureDomain);
@@ -100,7 +103,7 @@
           clock,
           log,
           host,
-          orders: newHttpWeightOrders(),
+          orders: newHttpWeightOrders(log, connections),
           hold: enginesLease.hold,
           findDue,
           find: directory.find,
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -1,3 +1,4 @@
+import newConnections from '@cyclamengate/adapter/newConnections';
 import newHttpStore from '@cyclamengate/adapter/newHttpStore';
 import newHttpUpstreamClient from '@cyclamengate/adapter/newHttpUpstreamClient';
 import newSseReader from '@cyclamengate/adapter/newSseReader';
@@ -74,8 +75,15 @@
     isLeaving: () => isLeaving,
   });
   loads.countOthers(coordination.othersRunning);
-  const candidates = newCandidates({ directory, health, loads, failureDomain });
-  const client = newHttpUpstreamClient(clock);
+  const connections = newConnections();
+  const client = newHttpUpstreamClient(clock, connections);
+  const candidates = newCandidates({
+    directory,
+    health,
+    loads,
+    failureDomain,
+    isConnected: (entry) => client.isConnected(entry),
+  });
   const relayParts = { clock, log, client, candidates, health, loads };
   const relay = newPlainRelay(relayParts);
   const relayStream = newStreamRelay(relayParts);
@@ -105,6 +113,7 @@
     log,
     host,
     address: settings.duties.address,
+    connections,
     windowMs: terms.usageWindowSeconds * MS_PER_SECOND,
     coordination,
     directory,
--- a/packages/batches/tests/helpers.ts
+++ b/packages/batches/tests/helpers.ts
@@ -56,6 +56,7 @@
   pace: 35,
   isResting: false,
   isOwnDomain: true,
+  isConnected: true,
   ...changes,
 });
 
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -35,6 +35,10 @@
       return { type: 'answer', answer: { ...head, version, body } };
     }
 
+    isConnected(): boolean {
+      return true;
+    }
+
     forget(): void {}
   }
   const outcome = await runOnce({
--- a/packages/engines/src/UpstreamClient.ts
+++ b/packages/engines/src/UpstreamClient.ts
@@ -62,6 +62,9 @@
     signal: AbortSignal,
   ): Promise<UpstreamOutcome>;
 
+  /** Whether a request to the upstream needs no new connection. */
+  abstract isConnected(entry: UpstreamEntry): boolean;
+
   /** Closes what is open to an upstream that is gone. */
   abstract forget(entry: UpstreamEntry): void;
 }
--- a/packages/engines/src/chooseUpstream.ts
+++ b/packages/engines/src/chooseUpstream.ts
@@ -9,10 +9,17 @@
   pace: number | null;
   isResting: boolean;
   isOwnDomain: boolean;
+  /** Whether a request needs no new connection. */
+  isConnected: boolean;
 }
 
 /** A call to another failure domain costs its bytes and about two milliseconds: a tenth of a slot. */
 const OTHER_DOMAIN_COST = 0.1;
+/**
+ * A new connection costs a round trip, a millisecond of the upstream's work and, for a while, a slot.
+ * Below the cost of one request in eight slots, so that load still decides.
+ */
+const NEW_CONNECTION_COST = 0.1;
 
 const median = (values: number[]): number | null => {
   const sorted = [...values].sort((left, right) => left - right);
@@ -37,12 +44,15 @@
   const awake = candidates.filter(({ isResting }) => !isResting);
   const eligible = awake.length > 0 ? awake : candidates;
   const costOf = (candidate: Candidate): number => {
-    const { entry, load, pace, isOwnDomain } = candidate;
+    const { entry, load, pace } = candidate;
     const slowness = slownessOf(pace, eligible);
     const busy = (load + 1) / Math.max(1, entry.slots);
     // A full upstream makes the request wait for a slot; that outweighs all else.
     const waiting = load >= entry.slots ? 1 + (load - entry.slots) / entry.slots : 0;
-    return (busy + waiting) * slowness + (slowness - 1) + (isOwnDomain ? 0 : OTHER_DOMAIN_COST);
+    const path =
+      (candidate.isOwnDomain ? 0 : OTHER_DOMAIN_COST) +
+      (candidate.isConnected ? 0 : NEW_CONNECTION_COST);
+    return (busy + waiting) * slowness + (slowness - 1) + path;
   };
   const ranked = eligible
     .map((candidate) => ({ candidate, cost: costOf(candidate) + random() * 0.01 }))
--- a/packages/engines/tests/placing.test.ts
+++ b/packages/engines/tests/placing.test.ts
@@ -14,6 +14,7 @@
   pace: 35,
   isResting: false,
   isOwnDomain: true,
+  isConnected: true,
   ...changes,
 });
 
@@ -24,6 +25,13 @@
   t.is(chosen([candidate('a', { load: 5 }), candidate('b', { load: 2 })]), 'b');
 });
 
+test('a kept connection is used unless another upstream has clearly more room', (t) => {
+  const kept = candidate('kept', { load: 1 });
+  const opened = (load: number): Candidate => candidate('new', { load, isConnected: false });
+  t.is(chosen([kept, opened(1)]), 'kept');
+  t.is(chosen([candidate('kept', { load: 2 }), opened(1)]), 'new');
+});
+
 test('an upstream that has turned slow is passed over while others have room', (t) => {
   // An engine works four times slower and says nothing of it. Least load alone would choose it, and
   // every answer from it would be late.
--- a/packages/gateway/src/newCandidates.ts
+++ b/packages/gateway/src/newCandidates.ts
@@ -9,16 +9,20 @@
   health: Health;
   loads: Loads;
   failureDomain: string;
+  isConnected: (entry: UpstreamEntry) => boolean;
 }
 
 /** Puts together what is known of a service's upstreams. Draining ones take no new work. */
-const newCandidates = ({ directory, health, loads, failureDomain }: CandidateOptions) => {
+const newCandidates = (options: CandidateOptions) => {
+  const { directory, health, loads, failureDomain, isConnected } = options;
+
   const describe = (entry: UpstreamEntry): Candidate => ({
     entry,
     load: loads.at(entry.id),
     pace: health.pace(entry.id),
     isResting: health.isResting(entry.id),
     isOwnDomain: entry.failureDomain === failureDomain,
+    isConnected: isConnected(entry),
   });
 
   return (service: string, tried: ReadonlySet<string> = new Set()): Candidate[] =>
--- a/packages/gateway/tests/helpers.ts
+++ b/packages/gateway/tests/helpers.ts
@@ -78,13 +78,23 @@
       return (behaviours[entry.id] ?? refusing)(request, signal);
     }
 
+    isConnected(): boolean {
+      return true;
+    }
+
     forget(): void {}
   }
   const directory = newDirectory(clock, silentLog);
   Object.keys(behaviours).forEach((id) => directory.put(newEntry(id)));
   const health = newHealth(clock, silentLog);
   const loads = newLoads(clock);
-  const candidates = newCandidates({ directory, health, loads, failureDomain: 'detroit' });
+  const candidates = newCandidates({
+    directory,
+    health,
+    loads,
+    failureDomain: 'detroit',
+    isConnected: () => true,
+  });
   return { sent, directory, health, loads, candidates, client: new FakeClient() };
 };
 
