Batches are kept through other hosts, and begun while the store is away

Cause: a batch that came while the store was away, or to a host that could not reach it, was refused after 0.9 s; its trainer tried once more and lost the step. Ruled out: holding alone (a host that is cut off alone would hold what another could keep at once). The log says who began it, and its usual owner leaves it to that host while it lives.

--- a/apps/host/src/hostSettings.ts
+++ b/apps/host/src/hostSettings.ts
@@ -10,6 +10,8 @@
   listen: z.object({
     callers: addressSchema,
     readiness: addressSchema,
+    /** For other hosts. */
+    peers: addressSchema,
     metricsPort: z.int().min(1).max(65_535),
   }),
   store: z.object({ address: addressSchema }),
--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -2,6 +2,7 @@
 import { formatResults, restoreBatch } from '@cyclamengate/adapter/batchCalls';
 import { refusalHeaders } from '@cyclamengate/adapter/callerRequest';
 import type { CallerRequest } from '@cyclamengate/adapter/callerRequest';
+import type { BatchKeeper } from '@cyclamengate/batches/newBatchKeeper';
 import type { BatchState } from '@cyclamengate/batches/newBatches';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
@@ -13,8 +14,12 @@
 import type { Refusal } from '@cyclamengate/gateway/refusal';
 import type { BatchStore } from './newBatchStore.js';
 
-/** A batch is kept within some milliseconds, or the store is away for longer than a caller waits. */
+/** A caller that names no patience is answered by then. */
 const ACCEPT_MS = 900;
+/** A caller's own time is used up to this, so that the answer still reaches it. */
+const ANSWER_RESERVE_MS = 300;
+/** An end is written within some milliseconds, here or by another host. */
+const END_MS = 1_300;
 const CATCH_UP_MS = 700;
 /** A view older than this may lack what another host has shown already. */
 const FRESH_MS = 700;
@@ -30,11 +35,14 @@
   clock: Clock;
   log: EventLog;
   store: BatchStore;
+  keep: BatchKeeper['keep'];
   readSettings: () => EffectiveSettings | null;
+  isLeaving: () => boolean;
 }
 
 /** The calls on batches. Every host answers them alike, from the store's records. */
-const newBatchHandlers = ({ clock, log, store, readSettings }: BatchHandlerOptions) => {
+const newBatchHandlers = (options: BatchHandlerOptions) => {
+  const { clock, log, store, keep, readSettings, isLeaving } = options;
   const { batches } = store;
 
   const refuse = (
@@ -65,6 +73,18 @@
 
   const isRefusal = (found: BatchState | Refusal): found is Refusal => 'status' in found;
 
+  /** The caller's connection: closed, nobody waits any more. */
+  const signalOf = (response: ServerResponse): AbortSignal => {
+    const controller = new AbortController();
+    response.once('close', () => controller.abort('caller gone'));
+    return controller.signal;
+  };
+
+  const acceptBy = (route: Route, { patienceMs }: CallerRequest): number => {
+    const waitMs = Math.min(patienceMs ?? ACCEPT_MS, route.timeoutMs) - ANSWER_RESERVE_MS;
+    return clock.now() + (isLeaving() ? Math.min(ACCEPT_MS, waitMs) : waitMs);
+  };
+
   const accept = async (
     request: CallerRequest,
     response: ServerResponse,
@@ -93,7 +113,7 @@
       acceptedAt: clock.wallTime(),
       ...submitted.val,
     };
-    const outcome = await store.write(record, clock.now() + ACCEPT_MS);
+    const outcome = await keep(record, acceptBy(route, request), signalOf(response));
     log.info('batch.accepted', {
       batch: id,
       outcome,
@@ -187,7 +207,7 @@
     }
     const outcome = found.isEnded
       ? 'written'
-      : await store.write({ type: 'batch-end', batch: id }, clock.now() + ACCEPT_MS);
+      : await keep({ type: 'batch-end', batch: id }, clock.now() + END_MS, signalOf(response));
     log.info('batch.ended', { batch: id, outcome, results: found.results.length });
     if (outcome === 'written') sendJson(response, 200, {});
     else refuse(response, request, id, uncertain('store-silent', 504));
--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -1,6 +1,6 @@
 import newBatches from '@cyclamengate/batches/newBatches';
 import { batchRecordSchema, partSchema } from '@cyclamengate/batches/batchRecord';
-import type { BatchRecord, Part } from '@cyclamengate/batches/batchRecord';
+import type { Batch, BatchRecord, Part } from '@cyclamengate/batches/batchRecord';
 import newPartTexts, { PART_LIFE_MS } from '@cyclamengate/batches/newPartTexts';
 import newTexts from '@cyclamengate/batches/newTexts';
 import { encodeRecord, newRecordAssembler } from '@cyclamengate/batches/recordPieces';
@@ -22,6 +22,9 @@
 /** Least time between two reads: bounds the calls of many hosts, and delays a result by as much. */
 const PACE_MS = 80;
 
+/** Longer than the store is away mostly; without it, two hosts run the batch. */
+const BEGUN_WRITE_MS = 15_000;
+
 export interface BatchStoreOptions {
   clock: Clock;
   log: EventLog;
@@ -84,6 +87,12 @@
 
   return {
     batches,
+    /** Begins a batch that the store does not have yet, and says so right behind it in the log. */
+    begin: (batch: Batch): void => {
+      batches.begin(batch);
+      const begun = { type: 'batch-begun' as const, batch: batch.id, incarnation };
+      writer.write(encodeRecord(begun, newId('record')), clock.now() + BEGUN_WRITE_MS);
+    },
     texts: newTexts({ clock, log, store, producer: incarnation }),
     readParts: parts.catchUp,
     writePart,
--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -39,6 +39,8 @@
   host: string;
   incarnation: string;
   failureDomain: string;
+  /** Where other hosts reach this one. */
+  address: string;
   leaseMs: number;
   meter: UsageMeter;
   readRunning: () => Record<string, number>;
@@ -47,8 +49,8 @@
 
 /** What hosts agree on through the store: who is there, who holds which lease, usage. */
 const newCoordination = (options: CoordinationOptions) => {
-  const { clock, log, store, host, incarnation, failureDomain, leaseMs, meter } = options;
-  const { readRunning, isLeaving } = options;
+  const { clock, log, store, host, incarnation, failureDomain, address, leaseMs } = options;
+  const { meter, readRunning, isLeaving } = options;
   let memberCount = 1;
 
   const heartbeatMs = (): number =>
@@ -102,6 +104,7 @@
         host,
         incarnation,
         failureDomain,
+        address,
         isLeaving: isLeaving(),
         running: readRunning(),
         usage: meter.recent(),
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -2,8 +2,11 @@
 import newHttpStore from '@cyclamengate/adapter/newHttpStore';
 import newHttpUpstreamClient from '@cyclamengate/adapter/newHttpUpstreamClient';
 import newSseReader from '@cyclamengate/adapter/newSseReader';
+import newBatchKeeper from '@cyclamengate/batches/newBatchKeeper';
 import newBatchRunner from '@cyclamengate/batches/newBatchRunner';
 import newItemScorer from '@cyclamengate/batches/newItemScorer';
+import newPeers from '@cyclamengate/batches/newPeers';
+import newPeerServer from '@cyclamengate/batches/newPeerServer';
 import newEventLog from '@cyclamengate/common/newEventLog';
 import newId from '@cyclamengate/common/newId';
 import newMetrics from '@cyclamengate/common/newMetrics';
@@ -69,6 +72,7 @@
     host,
     incarnation,
     failureDomain,
+    address: settings.listen.peers,
     leaseMs: terms.leaseMs,
     meter,
     readRunning: loads.ownAll,
@@ -105,6 +109,8 @@
     isFresh: () => clock.now() < batchStore.freshAt() + FRESH_TO_START_MS,
     isListed: (id) => directory.find(id) !== undefined,
     incarnation,
+    isLeaving: () => isLeaving,
+    isLive: (run) => coordination.members.live().some((member) => member.incarnation === run),
     write: batchStore.write,
     writePart: batchStore.writePart,
     writeText: batchStore.texts.write,
@@ -134,11 +140,28 @@
     health.forget(entry.id);
   });
 
+  const peers = newPeers({
+    clock,
+    log,
+    failureDomain,
+    readPeers: () => coordination.members.lately().filter((member) => member.host !== host),
+  });
+  const keeper = newBatchKeeper({
+    clock,
+    log,
+    write: batchStore.write,
+    askPeers: peers.keep,
+    begin: batchStore.begin,
+    withdraw: batchStore.batches.withdraw,
+    isLeaving: () => isLeaving,
+  });
   const batchHandlers = newBatchHandlers({
     clock,
     log,
     store: batchStore,
+    keep: keeper.keep,
     readSettings: view.read,
+    isLeaving: () => isLeaving,
   });
   const callers = newCallerHandler({
     clock,
@@ -159,6 +182,9 @@
     callers,
     batches: batchHandlers,
     readSettings: view.read,
+    peerServer: newPeerServer({
+      keep: (record, withinMs) => batchStore.write(record, clock.now() + withinMs),
+    }),
     isReady: () => view.read() !== null && !isLeaving,
   });
 
--- a/apps/host/src/newServers.ts
+++ b/apps/host/src/newServers.ts
@@ -24,6 +24,8 @@
   batches: BatchHandlers;
   readSettings: () => EffectiveSettings | null;
   isReady: () => boolean;
+  /** For other hosts. */
+  peerServer: Server;
 }
 
 interface Address {
@@ -47,7 +49,7 @@
 
 /** The addresses on which a host listens: callers, readiness, metrics. */
 const newServers = (options: ServersOptions) => {
-  const { settings, log, metrics, callers, batches, readSettings, isReady } = options;
+  const { settings, log, metrics, callers, batches, readSettings, isReady, peerServer } = options;
   let openRequests = 0;
 
   const onFault = (error: unknown): void =>
@@ -111,12 +113,13 @@
     listen: async (): Promise<void> => {
       await listenOn(callerServer, parseAddress(settings.listen.callers));
       await listenOn(readinessServer, parseAddress(settings.listen.readiness));
+      await listenOn(peerServer, parseAddress(settings.listen.peers));
       const metricsAddress = { host: settings.address, port: settings.listen.metricsPort };
       await listenOn(metricsServer, metricsAddress);
     },
     open: (): number => openRequests,
     close: (): void => {
-      [callerServer, readinessServer, metricsServer].forEach((server) => {
+      [callerServer, readinessServer, peerServer, metricsServer].forEach((server) => {
         server.close();
         server.closeIdleConnections();
       });
--- a/apps/host/tests/newHosts.ts
+++ b/apps/host/tests/newHosts.ts
@@ -97,7 +97,8 @@
   const hosts: TestHost[] = [];
 
   const start = async (name: string, failureDomain: string): Promise<TestHost> => {
-    const [callers, readiness, metrics] = [await freePort(), await freePort(), await freePort()];
+    const [callers, readiness] = [await freePort(), await freePort()];
+    const [peers, metrics] = [await freePort(), await freePort()];
     const path = join(folder, `${name}.yaml`);
     const settings = {
       host: name,
@@ -106,6 +107,7 @@
       listen: {
         callers: `127.0.0.1:${callers}`,
         readiness: `127.0.0.1:${readiness}`,
+        peers: `127.0.0.1:${peers}`,
         metricsPort: metrics,
       },
       store: { address: platform.store.address },
--- a/apps/host/tests/wholePath.process.test.ts
+++ b/apps/host/tests/wholePath.process.test.ts
@@ -227,3 +227,29 @@
   t.is(runner?.child.exitCode, 0);
   await close();
 });
+
+test.serial(
+  'a batch that comes while the store is away runs meanwhile and is listed after it',
+  async (t) => {
+    // The store is down for three seconds, and a step is sent in the middle of it. Its trainer would be
+    // refused until it gives up, though engines are idle.
+    const { platform, first, second, close } = await newSystem();
+    await until(async () => (await submit(second, 'b0', batchBody('b0', 1, 1))).status === 202);
+    platform.store.faults.mode = 'busy';
+    const submitted = send(first, 'POST', '/rounds/', {
+      id: 'b1',
+      body: batchBody('b1', 2, 2),
+      headers: { 'deadline-ms': '9000' },
+    });
+    const runsOf = (): number =>
+      platform.engines.flatMap(({ runs }) => runs).filter(({ requestId }) => /^b1/.test(requestId))
+        .length;
+    await until(() => runsOf() >= 4);
+    platform.store.faults.mode = 'well';
+    t.is((await submitted).status, 202);
+    const page = await readWhole(second, 'b1');
+    t.true(page.results.every(({ id, text }) => text === textOf(id)));
+    t.is(runsOf(), 4, 'nothing was run twice');
+    await close();
+  },
+);
--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -75,6 +75,14 @@
 /** The batch's sender wants no more of it. */
 export const batchEndSchema = z.object({ type: z.literal('batch-end'), batch: z.string() });
 
+/** A host began the batch's items before the store had the batch, and goes on with them. */
+export const batchBegunSchema = z.object({
+  type: z.literal('batch-begun'),
+  batch: z.string(),
+  /** This run of the host's process. */
+  incarnation: z.string(),
+});
+
 /**
  * Text of an item that is under way, so that another host can go on with it. The first piece of a
  * writer starts from nothing; each further one continues what that writer has written.
@@ -101,6 +109,7 @@
   batchSchema,
   resultSchema,
   batchEndSchema,
+  batchBegunSchema,
 ]);
 
 export type BatchRecord = z.infer<typeof batchRecordSchema>;
--- /dev/null
+++ b/packages/batches/src/newAssignment.ts
@@ -0,0 +1,39 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { BatchState } from './newBatches.js';
+import type { Takeovers } from './newTakeovers.js';
+
+/** After an outage of the store heartbeats are back within a second; until then nobody looks live. */
+const BEGUN_GRACE_MS = 2_000;
+
+export interface AssignmentOptions {
+  clock: Clock;
+  /** This run of the process. */
+  incarnation: string;
+  isLeaving: () => boolean;
+  /** Whether another run of a host's process is live. */
+  isLive: (incarnation: string) => boolean;
+  takeovers: Takeovers;
+}
+
+/** Batches of one model are run by one host, which sees all that compete for its engines. */
+export const subjectOf = ({ batch }: BatchState): string => batch.model ?? batch.id;
+
+/**
+ * Whether this host runs a batch now.
+ *
+ * A batch that came while the store was away is run by the host that began it, as long as that host
+ * lives: another one would make the same texts a second time. All others go by their subject.
+ */
+const newAssignment =
+  ({ clock, incarnation, isLeaving, isLive, takeovers }: AssignmentOptions) =>
+  (state: BatchState): boolean => {
+    const { isBegunHere, begunBy } = state;
+    if (isLeaving()) return false;
+    if (isBegunHere || begunBy?.incarnation === incarnation) return true;
+    const isBegunElsewhere =
+      begunBy !== null &&
+      (clock.now() < begunBy.readAt + BEGUN_GRACE_MS || isLive(begunBy.incarnation));
+    return !isBegunElsewhere && takeovers.mayBegin(subjectOf(state));
+  };
+
+export default newAssignment;
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -16,6 +16,7 @@
 import type { EventReader } from './EventReader.js';
 import findMoves from './findMoves.js';
 import type { Batches, BatchState } from './newBatches.js';
+import newAssignment from './newAssignment.js';
 import newItemFinisher from './newItemFinisher.js';
 import type { ItemScorer } from './newItemScorer.js';
 import newPartSaver from './newPartSaver.js';
@@ -58,6 +59,9 @@
   isListed: (upstream: string) => boolean;
   /** This run of the process. */
   incarnation: string;
+  isLeaving: () => boolean;
+  /** Whether another run of a host's process is live. */
+  isLive: (incarnation: string) => boolean;
   writePart: (part: Part, deadline: number) => Promise<WriteOutcome>;
   write: (result: ItemResult, deadline: number) => Promise<WriteOutcome>;
   writeText: (batch: string, text: string, deadline: number) => Promise<TextPlace | null>;
@@ -65,9 +69,6 @@
   readParts: (deadline: number) => Promise<unknown>;
 }
 
-/** Batches of one model are run by one host, which sees all that compete for its engines. */
-export const subjectOf = ({ batch }: BatchState): string => batch.model ?? batch.id;
-
 /** Runs the items of the batches that are this host's. */
 const newBatchRunner = (options: BatchRunnerOptions) => {
   const { clock, log, batches, client, candidates, health, loads, scorer, write } = options;
@@ -77,6 +78,7 @@
   const { writeText, readParts } = options;
   const { abandon, score } = newItemFinisher({ clock, log, scorer, write, writeText });
   const takeovers = newTakeovers({ clock, isOwner, readParts });
+  const isMine = newAssignment({ ...options, takeovers });
   const refusals = newRefusals(clock);
   const notifier = newNotifier(clock);
   let savePartsAt = -Infinity;
@@ -202,8 +204,7 @@
     return retentionMs > 0 && clock.wallTime() > batch.acceptedAt + retentionMs;
   };
 
-  const startWaiting = (): void => {
-    const waiting = tasks.waiting();
+  const startWaiting = (waiting: ItemTask[]): void => {
     if (waiting.length === 0) return;
     const byService = new Map<string, ItemTask[]>();
     waiting.forEach((task) => {
@@ -241,9 +242,10 @@
    * texts be scored, after their end.
    */
   const beginWork = (): void => {
-    if (!isFresh()) return;
-    scoreRestored();
-    startWaiting();
+    const isCurrent = isFresh();
+    if (isCurrent) scoreRestored();
+    // A batch that the store does not have yet can't have been ended.
+    startWaiting(tasks.waiting().filter(({ state }) => isCurrent || !state.isKept));
   };
 
   const moveRunning = (): void => {
@@ -281,7 +283,7 @@
 
   const tick = (): void => {
     takeovers.reconcile();
-    const mine = batches.open().filter((state) => takeovers.mayBegin(subjectOf(state)));
+    const mine = batches.open().filter(isMine);
     tasks.reconcile(mine);
     beginWork();
     moveRunning();
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -12,6 +12,12 @@
   results: ItemResult[];
   finished: Set<string>;
   isEnded: boolean;
+  /** Whether the store has it; one that this host began without that is nobody else's business. */
+  isKept: boolean;
+  /** Whether this host began it before the store had it. */
+  isBegunHere: boolean;
+  /** Who else, by the log; `readAt` is on the monotonic clock. */
+  begunBy: { incarnation: string; readAt: number } | null;
   /** When this host forgets it, on the monotonic clock. */
   keepUntil: number;
 }
@@ -45,8 +51,7 @@
   const completed = new Map<string, { item: Item; result: ItemResult }>();
   const listeners = new Set<(state: BatchState) => void>();
 
-  const accept = (batch: Batch): BatchState | null => {
-    if (states.has(batch.id)) return null;
+  const add = (batch: Batch, isKept: boolean): BatchState => {
     const age = Math.max(0, clock.wallTime() - batch.acceptedAt);
     const state: BatchState = {
       batch,
@@ -54,15 +59,35 @@
       results: [],
       finished: new Set(),
       isEnded: false,
+      isKept,
+      isBegunHere: !isKept,
+      begunBy: null,
       keepUntil: clock.now() + Math.max(0, lifeMs - Math.min(age, lifeMs)) + lifeMs / 2,
     };
     states.set(batch.id, state);
     return state;
   };
 
+  const accept = (batch: Batch): BatchState | null => {
+    const known = states.get(batch.id);
+    if (!known) return add(batch, true);
+    if (known.isKept) return null;
+    known.isKept = true;
+    known.batch = batch;
+    return known;
+  };
+
+  const noteBegun = (id: string, incarnation: string): BatchState | null => {
+    const state = states.get(id);
+    if (!state?.isKept || state.begunBy) return null;
+    state.begunBy = { incarnation, readAt: clock.now() };
+    return state;
+  };
+
   const addResult = (result: ItemResult): BatchState | null => {
     const state = states.get(result.batch);
-    if (!state?.items.has(result.item) || state.finished.has(result.item)) return null;
+    if (!state?.isKept || !state.items.has(result.item) || state.finished.has(result.item))
+      return null;
     state.finished.add(result.item);
     state.results.push(result);
     parts.forget(result.item);
@@ -86,6 +111,8 @@
         return addResult(record);
       case 'batch-end':
         return end(record.batch);
+      case 'batch-begun':
+        return noteBegun(record.batch, record.incarnation);
       default:
         return assertNever(record);
     }
@@ -107,7 +134,23 @@
       if (record.type === 'batch') forgetOld();
       [...listeners].forEach((listener) => listener(changed));
     },
-    get: (id: string): BatchState | undefined => states.get(id),
+    get: (id: string): BatchState | undefined => {
+      const state = states.get(id);
+      return state?.isKept ? state : undefined;
+    },
+    /** Begins a batch that the store does not have yet. */
+    begin: (batch: Batch): void => {
+      if (states.has(batch.id)) return;
+      const state = add(batch, false);
+      [...listeners].forEach((listener) => listener(state));
+    },
+    /** Ends what was begun here, unless the store has the batch by now. */
+    withdraw: (id: string): void => {
+      const state = states.get(id);
+      if (!state) return;
+      state.isBegunHere = false;
+      if (!state.isKept) states.delete(id);
+    },
     open: (): BatchState[] =>
       [...states.values()].filter(
         ({ isEnded, finished, items }) => !isEnded && finished.size < items.size,
--- /dev/null
+++ b/packages/batches/tests/newAssignment.test.ts
@@ -0,0 +1,59 @@
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import test from 'ava';
+import newAssignment from '../src/newAssignment.js';
+import newBatches from '../src/newBatches.js';
+import newPartTexts from '../src/newPartTexts.js';
+import newTakeovers from '../src/newTakeovers.js';
+import { newBatch, newItem } from './helpers.js';
+
+const newHost = (incarnation: string, isOwner: boolean) => {
+  const clock = newManualClock();
+  const live = new Set(['owner', 'beginner']);
+  const batches = newBatches({ clock, lifeMs: 120_000, parts: newPartTexts(clock) });
+  const takeovers = newTakeovers({ clock, isOwner: () => isOwner, readParts: async () => {} });
+  const isLive = (run: string): boolean => live.has(run);
+  const isMine = newAssignment({ clock, incarnation, isLeaving: () => false, isLive, takeovers });
+  takeovers.mayBegin('x');
+  return { clock, live, batches, isMine: () => batches.open().map(isMine) };
+};
+
+const batch = newBatch('b', [newItem('1')]);
+const begun = { type: 'batch-begun' as const, batch: 'b', incarnation: 'beginner' };
+
+test('a batch that was begun before it was kept stays with its host, and with no other', async (t) => {
+  // The store comes back with a batch that one host has half done. Were its usual owner to run it
+  // too, each text would be made twice while all wait for engines.
+  const beginner = newHost('beginner', false);
+  beginner.batches.begin(batch);
+  t.deepEqual(beginner.isMine(), [true]);
+  t.is(beginner.batches.get('b'), undefined, 'nobody may be told of it yet');
+  const owner = newHost('owner', true);
+  await new Promise(setImmediate);
+  [beginner, owner].forEach(({ batches }) => {
+    batches.apply(batch);
+    batches.apply(begun);
+  });
+  t.truthy(beginner.batches.get('b'));
+  t.deepEqual(beginner.isMine(), [true]);
+  t.deepEqual(owner.isMine(), [false]);
+});
+
+test('a batch whose beginner has died goes to its usual owner', async (t) => {
+  const owner = newHost('owner', true);
+  await new Promise(setImmediate);
+  owner.batches.apply(batch);
+  owner.batches.apply(begun);
+  owner.live.delete('beginner');
+  t.deepEqual(owner.isMine(), [false], 'heartbeats may be late after an outage');
+  await owner.clock.advance(2_500);
+  t.deepEqual(owner.isMine(), [true]);
+});
+
+test('a batch that was begun and withdrawn leaves nothing behind', (t) => {
+  const { batches } = newHost('beginner', false);
+  batches.begin(batch);
+  batches.withdraw('b');
+  t.deepEqual(batches.open(), []);
+  batches.apply(batch);
+  t.is(batches.open().length, 1);
+});
--- a/packages/hosts/src/coordinationRecord.ts
+++ b/packages/hosts/src/coordinationRecord.ts
@@ -12,6 +12,8 @@
   /** This run of the host's process. */
   incarnation: z.string(),
   failureDomain: z.string(),
+  /** Where other hosts reach it: IP address and port. */
+  address: z.string(),
   /** The host finishes what it has and takes nothing new. */
   isLeaving: z.boolean(),
   /** Requests that the host runs at each upstream. */
--- a/packages/hosts/src/newMembers.ts
+++ b/packages/hosts/src/newMembers.ts
@@ -5,6 +5,7 @@
   host: string;
   incarnation: string;
   failureDomain: string;
+  address: string;
   running: Record<string, number>;
 }
 
@@ -13,6 +14,9 @@
   deadline: number;
 }
 
+/** Outages of the store last up to nine seconds; hosts that died meanwhile cost a call each. */
+const REMEMBERED_MS = 12_000;
+
 /** Which hosts are there, by the heartbeats that they wrote. */
 const newMembers = (clock: Clock, readLifeMs: () => number) => {
   const sightings = new Map<string, Sighting>();
@@ -32,6 +36,12 @@
         .filter(isLive)
         .map(({ heartbeat }) => heartbeat)
         .sort((left, right) => (left.host < right.host ? -1 : 1)),
+    /** The newest word of each host of late, also from before an outage of the store. */
+    lately: (): Member[] =>
+      [...sightings.values()]
+        .filter(({ deadline }) => clock.now() < deadline + REMEMBERED_MS)
+        .map(({ heartbeat }) => heartbeat)
+        .filter(({ isLeaving }) => !isLeaving),
     /** Hosts that were heard of lately, also those that leave. */
     heard: (): Heartbeat[] =>
       [...sightings.values()]
--- a/packages/hosts/tests/reportWindows.test.ts
+++ b/packages/hosts/tests/reportWindows.test.ts
@@ -34,6 +34,7 @@
   const heartbeat = (host: string, counts: Heartbeat['usage'], countedThrough: number): void => {
     const record: Heartbeat = {
       type: 'heartbeat',
+      address: '10.0.0.1:7780',
       host,
       incarnation: `${host}-run`,
       failureDomain: 'detroit',
