A batch that nobody can keep yet runs on one host, wherever it comes again

Change: the host that can't keep it has the first host in turn that it reaches begin the batch; that host brings it to the store itself, for 9 s. The caller hears 504 meanwhile, which promises nothing.

--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -14,12 +14,10 @@
 import type { Refusal } from '@cyclamengate/gateway/refusal';
 import type { BatchStore } from './newBatchStore.js';
 
-/** A caller that names no patience is answered by then. */
+/** Trainers send a batch again after about 1.2 s without an answer; until then the store may be back. */
 const ACCEPT_MS = 900;
-/** A caller's own time is used up to this, so that the answer still reaches it. */
-const ANSWER_RESERVE_MS = 300;
 /** An end is written within some milliseconds, here or by another host. */
-const END_MS = 1_300;
+const END_MS = 1_000;
 const CATCH_UP_MS = 700;
 /** A view older than this may lack what another host has shown already. */
 const FRESH_MS = 700;
@@ -37,12 +35,11 @@
   store: BatchStore;
   keep: BatchKeeper['keep'];
   readSettings: () => EffectiveSettings | null;
-  isLeaving: () => boolean;
 }
 
 /** The calls on batches. Every host answers them alike, from the store's records. */
 const newBatchHandlers = (options: BatchHandlerOptions) => {
-  const { clock, log, store, keep, readSettings, isLeaving } = options;
+  const { clock, log, store, keep, readSettings } = options;
   const { batches } = store;
 
   const refuse = (
@@ -73,18 +70,6 @@
 
   const isRefusal = (found: BatchState | Refusal): found is Refusal => 'status' in found;
 
-  /** The caller's connection: closed, nobody waits any more. */
-  const signalOf = (response: ServerResponse): AbortSignal => {
-    const controller = new AbortController();
-    response.once('close', () => controller.abort('caller gone'));
-    return controller.signal;
-  };
-
-  const acceptBy = (route: Route, { patienceMs }: CallerRequest): number => {
-    const waitMs = Math.min(patienceMs ?? ACCEPT_MS, route.timeoutMs) - ANSWER_RESERVE_MS;
-    return clock.now() + (isLeaving() ? Math.min(ACCEPT_MS, waitMs) : waitMs);
-  };
-
   const accept = async (
     request: CallerRequest,
     response: ServerResponse,
@@ -113,7 +98,7 @@
       acceptedAt: clock.wallTime(),
       ...submitted.val,
     };
-    const outcome = await keep(record, acceptBy(route, request), signalOf(response));
+    const outcome = await keep(record, clock.now() + ACCEPT_MS);
     log.info('batch.accepted', {
       batch: id,
       outcome,
@@ -207,7 +192,7 @@
     }
     const outcome = found.isEnded
       ? 'written'
-      : await keep({ type: 'batch-end', batch: id }, clock.now() + END_MS, signalOf(response));
+      : await keep({ type: 'batch-end', batch: id }, clock.now() + END_MS);
     log.info('batch.ended', { batch: id, outcome, results: found.results.length });
     if (outcome === 'written') sendJson(response, 200, {});
     else refuse(response, request, id, uncertain('store-silent', 504));
--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -22,8 +22,8 @@
 /** Least time between two reads: bounds the calls of many hosts, and delays a result by as much. */
 const PACE_MS = 80;
 
-/** Longer than the store is away mostly; without it, two hosts run the batch. */
-const BEGUN_WRITE_MS = 15_000;
+/** A batch is due 7.5 s after it was sent first; kept later than this it is of use to nobody. */
+const BEGUN_MS = 9_000;
 
 export interface BatchStoreOptions {
   clock: Clock;
@@ -87,11 +87,15 @@
 
   return {
     batches,
-    /** Begins a batch that the store does not have yet, and says so right behind it in the log. */
+    /** Begins a batch that the store does not have yet, and brings it there with who began it. */
     begin: (batch: Batch): void => {
-      batches.begin(batch);
+      if (!batches.begin(batch)) return;
       const begun = { type: 'batch-begun' as const, batch: batch.id, incarnation };
-      writer.write(encodeRecord(begun, newId('record')), clock.now() + BEGUN_WRITE_MS);
+      const records = [batch, begun].flatMap((record) => encodeRecord(record, newId('record')));
+      writer.write(records, clock.now() + BEGUN_MS).then((outcome) => {
+        log.info('batch.begun-kept', { batch: batch.id, outcome });
+        if (outcome !== 'written') batches.withdraw(batch.id);
+      });
     },
     texts: newTexts({ clock, log, store, producer: incarnation }),
     readParts: parts.catchUp,
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -2,11 +2,13 @@
 import newHttpStore from '@cyclamengate/adapter/newHttpStore';
 import newHttpUpstreamClient from '@cyclamengate/adapter/newHttpUpstreamClient';
 import newSseReader from '@cyclamengate/adapter/newSseReader';
+import type { Batch } from '@cyclamengate/batches/batchRecord';
 import newBatchKeeper from '@cyclamengate/batches/newBatchKeeper';
 import newBatchRunner from '@cyclamengate/batches/newBatchRunner';
 import newItemScorer from '@cyclamengate/batches/newItemScorer';
 import newPeers from '@cyclamengate/batches/newPeers';
 import newPeerServer from '@cyclamengate/batches/newPeerServer';
+import rendezvousRank from '@cyclamengate/common/rendezvousRank';
 import newEventLog from '@cyclamengate/common/newEventLog';
 import newId from '@cyclamengate/common/newId';
 import newMetrics from '@cyclamengate/common/newMetrics';
@@ -140,20 +142,25 @@
     health.forget(entry.id);
   });
 
+  const beginBatch = (batch: Batch): boolean => {
+    if (!isLeaving) batchStore.begin(batch);
+    return !isLeaving;
+  };
   const peers = newPeers({
     clock,
     log,
     failureDomain,
     readPeers: () => coordination.members.lately().filter((member) => member.host !== host),
+    host,
+    rank: ({ id, model }, hosts) => rendezvousRank(`batches/${model ?? id}`, hosts),
+    beginHere: beginBatch,
   });
   const keeper = newBatchKeeper({
     clock,
     log,
     write: batchStore.write,
     askPeers: peers.keep,
-    begin: batchStore.begin,
-    withdraw: batchStore.batches.withdraw,
-    isLeaving: () => isLeaving,
+    begin: peers.begin,
   });
   const batchHandlers = newBatchHandlers({
     clock,
@@ -161,7 +168,6 @@
     store: batchStore,
     keep: keeper.keep,
     readSettings: view.read,
-    isLeaving: () => isLeaving,
   });
   const callers = newCallerHandler({
     clock,
@@ -184,6 +190,7 @@
     readSettings: view.read,
     peerServer: newPeerServer({
       keep: (record, withinMs) => batchStore.write(record, clock.now() + withinMs),
+      begin: beginBatch,
     }),
     isReady: () => view.read() !== null && !isLeaving,
   });
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -138,11 +138,12 @@
       const state = states.get(id);
       return state?.isKept ? state : undefined;
     },
-    /** Begins a batch that the store does not have yet. */
-    begin: (batch: Batch): void => {
-      if (states.has(batch.id)) return;
+    /** Begins a batch that the store does not have yet; @returns false where it is known. */
+    begin: (batch: Batch): boolean => {
+      if (states.has(batch.id)) return false;
       const state = add(batch, false);
       [...listeners].forEach((listener) => listener(state));
+      return true;
     },
     /** Ends what was begun here, unless the store has the batch by now. */
     withdraw: (id: string): void => {
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -2,15 +2,19 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import { createTRPCClient, httpLink, TRPCClientError } from '@trpc/client';
-import type { BatchRecord } from './batchRecord.js';
+import type { Batch, BatchRecord } from './batchRecord.js';
 import { writeOutcomeSchema } from './peerRouter.js';
 import type { PeerRouter } from './peerRouter.js';
 
 /** Asked at once: with a third of the hosts cut off from the store, one in 27 times all three are. */
 const MOST_ASKED = 3;
 /** A host that reaches the store writes within 10 ms; the call crosses failure domains twice. */
-const KEEP_MS = 600;
-const ANSWER_MS = 200;
+const KEEP_MS = 500;
+const ANSWER_MS = 150;
+/** A host that lives answers within 10 ms; some of the first in turn may be beyond a cut. */
+const BEGIN_MS = 200;
+/** A host that did not answer is passed over for so long; cuts last some seconds. */
+const UNREACHABLE_MS = 3_000;
 
 /** Another host, as its heartbeats tell of it. */
 export interface Peer {
@@ -26,6 +30,12 @@
   failureDomain: string;
   /** Hosts that were live when this one last heard of them, without itself. */
   readPeers: () => Peer[];
+  /** This host's name. */
+  host: string;
+  /** Names of hosts in the order in which they come for a batch; the same on every host. */
+  rank: (batch: Batch, hosts: string[]) => string[];
+  /** Begins a batch on this host. */
+  beginHere: (batch: Batch) => boolean;
   random?: () => number;
 }
 
@@ -47,13 +57,17 @@
  * The store turns single hosts away, or a link between them fails, for seconds. A caller that came
  * to such a host would be refused though the system could serve it.
  */
-const newPeers = ({ clock, log, failureDomain, readPeers, random }: PeersOptions) => {
+const newPeers = (options: PeersOptions) => {
+  const { clock, log, failureDomain, readPeers, host, rank, beginHere, random } = options;
+  const unreachableUntil = new Map<string, number>();
+
+  const clientOf = ({ address }: Peer) =>
+    createTRPCClient<PeerRouter>({ links: [httpLink({ url: `http://${address}/trpc` })] });
+
   const askOne = async (peer: Peer, record: BatchRecord): Promise<WriteOutcome> => {
-    const url = `http://${peer.address}/trpc`;
-    const client = createTRPCClient<PeerRouter>({ links: [httpLink({ url })] });
     const signal = AbortSignal.timeout(KEEP_MS + ANSWER_MS);
     try {
-      const answer = await client.keep.mutate({ record, withinMs: KEEP_MS }, { signal });
+      const answer = await clientOf(peer).keep.mutate({ record, withinMs: KEEP_MS }, { signal });
       return writeOutcomeSchema.parse(answer);
     } catch (error) {
       // A peer that never got the call can't be told from one whose answer was lost.
@@ -63,7 +77,33 @@
     }
   };
 
+  const beginAt = async (peer: Peer, batch: Batch): Promise<boolean> => {
+    if (clock.now() < (unreachableUntil.get(peer.host) ?? -Infinity)) return false;
+    try {
+      return await clientOf(peer).begin.mutate(batch, { signal: AbortSignal.timeout(BEGIN_MS) });
+    } catch (error) {
+      unreachableUntil.set(peer.host, clock.now() + UNREACHABLE_MS);
+      log.warn('peer.no-answer', { peer: peer.host, reason: (error as Error).message });
+      return false;
+    }
+  };
+
   return {
+    /**
+     * Has the first host in turn that can be reached begin a batch. Each host that the batch comes
+     * to asks in the same order, so that two seldom run it.
+     */
+    begin: async (batch: Batch): Promise<void> => {
+      const peers = new Map(readPeers().map((peer) => [peer.host, peer]));
+      for (const name of rank(batch, [host, ...peers.keys()])) {
+        const peer = peers.get(name);
+        const isBegun = peer ? await beginAt(peer, batch) : beginHere(batch);
+        if (isBegun) {
+          log.info('batch.begun-at', { batch: batch.id, host: name });
+          return;
+        }
+      }
+    },
     /** Asks some peers to write a record; ends with the first that has. */
     keep: async (record: BatchRecord): Promise<WriteOutcome> => {
       const chosen = choosePeers(readPeers(), failureDomain, random);
@@ -77,7 +117,7 @@
       );
       log.info('peers.asked', {
         type: record.type,
-        peers: chosen.map(({ host }) => host),
+        peers: chosen.map((peer) => peer.host),
         outcome,
         tookMs: Math.round(clock.now() - startedAt),
       });
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -1,8 +1,8 @@
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
-import { batchRecordSchema } from './batchRecord.js';
-import type { BatchRecord } from './batchRecord.js';
+import { batchRecordSchema, batchSchema } from './batchRecord.js';
+import type { Batch, BatchRecord } from './batchRecord.js';
 
 export const writeOutcomeSchema = z.enum(['written', 'not-written', 'unknown']);
 
@@ -19,14 +19,17 @@
 export interface PeerService {
   /** Writes a record of batches to the store. */
   keep: (record: BatchRecord, withinMs: number) => Promise<WriteOutcome>;
+  /** Begins a batch that the store does not have; @returns false where it takes no new work. */
+  begin: (batch: Batch) => boolean;
 }
 
 const t = initTRPC.create();
 
 /** The procedures through which hosts talk to one another. */
-export const newPeerRouter = ({ keep }: PeerService) =>
+export const newPeerRouter = ({ keep, begin }: PeerService) =>
   t.router({
     keep: t.procedure.input(keepSchema).mutation(({ input }) => keep(input.record, input.withinMs)),
+    begin: t.procedure.input(batchSchema).mutation(({ input }) => begin(input)),
   });
 
 export type PeerRouter = ReturnType<typeof newPeerRouter>;
