--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -29,12 +29,15 @@
   clock: Clock;
   log: EventLog;
   store: Store;
+  host: string;
   incarnation: string;
   lifeMs: number;
 }
 
 /** Batches, followed in the store, and the way to write to them. */
-const newBatchStore = ({ clock, log, store, incarnation, lifeMs }: BatchStoreOptions) => {
+const newBatchStore = (options: BatchStoreOptions) => {
+  const { clock, log, store, host, incarnation, lifeMs } = options;
+
   const partTexts = newPartTexts(clock);
   const batches = newBatches({ clock, lifeMs, parts: partTexts });
   const assemble = newRecordAssembler();
@@ -90,7 +93,7 @@
     /** Begins a batch that the store does not have yet, and brings it there with who began it. */
     begin: (batch: Batch): void => {
       if (!batches.begin(batch)) return;
-      const begun = { type: 'batch-begun' as const, batch: batch.id, incarnation };
+      const begun = { type: 'batch-begun' as const, batch: batch.id, host, incarnation };
       const records = [batch, begun].flatMap((record) => encodeRecord(record, newId('record')));
       writer.write(records, clock.now() + BEGUN_MS).then((outcome) => {
         log.info('batch.begun-kept', { batch: batch.id, outcome });
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -94,7 +94,7 @@
   const relay = newPlainRelay(relayParts);
   const relayStream = newStreamRelay(relayParts);
   const lifeMs = terms.batchLifeSeconds * MS_PER_SECOND;
-  const batchStore = newBatchStore({ clock, log, store, incarnation, lifeMs });
+  const batchStore = newBatchStore({ clock, log, store, host, incarnation, lifeMs });
   const platform = followPlatform({ clock, log, store, view, directory });
   const runner = newBatchRunner({
     clock,
@@ -113,6 +113,7 @@
     incarnation,
     isLeaving: () => isLeaving,
     isLive: (run) => coordination.members.live().some((member) => member.incarnation === run),
+    hasLeft: coordination.members.hasLeft,
     write: batchStore.write,
     writePart: batchStore.writePart,
     writeText: batchStore.texts.write,
--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -79,10 +79,13 @@
 export const batchBegunSchema = z.object({
   type: z.literal('batch-begun'),
   batch: z.string(),
+  host: z.string(),
   /** This run of the host's process. */
   incarnation: z.string(),
 });
 
+export type BatchBegun = z.infer<typeof batchBegunSchema>;
+
 /**
  * Text of an item that is under way, so that another host can go on with it. The first piece of a
  * writer starts from nothing; each further one continues what that writer has written.
--- a/packages/batches/src/newAssignment.ts
+++ b/packages/batches/src/newAssignment.ts
@@ -12,6 +12,8 @@
   isLeaving: () => boolean;
   /** Whether another run of a host's process is live. */
   isLive: (incarnation: string) => boolean;
+  /** Whether a run of a host's process is known to leave or to be gone. */
+  hasLeft: (host: string, incarnation: string) => boolean;
   takeovers: Takeovers;
 }
 
@@ -25,13 +27,14 @@
  * lives: another one would make the same texts a second time. All others go by their subject.
  */
 const newAssignment =
-  ({ clock, incarnation, isLeaving, isLive, takeovers }: AssignmentOptions) =>
+  ({ clock, incarnation, isLeaving, isLive, hasLeft, takeovers }: AssignmentOptions) =>
   (state: BatchState): boolean => {
     const { isBegunHere, begunBy } = state;
     if (isLeaving()) return false;
     if (isBegunHere || begunBy?.incarnation === incarnation) return true;
     const isBegunElsewhere =
       begunBy !== null &&
+      !hasLeft(begunBy.host, begunBy.incarnation) &&
       (clock.now() < begunBy.readAt + BEGUN_GRACE_MS || isLive(begunBy.incarnation));
     return !isBegunElsewhere && takeovers.mayBegin(subjectOf(state));
   };
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -62,6 +62,8 @@
   isLeaving: () => boolean;
   /** Whether another run of a host's process is live. */
   isLive: (incarnation: string) => boolean;
+  /** Whether a run of a host's process is known to leave or to be gone. */
+  hasLeft: (host: string, incarnation: string) => boolean;
   writePart: (part: Part, deadline: number) => Promise<WriteOutcome>;
   write: (result: ItemResult, deadline: number) => Promise<WriteOutcome>;
   writeText: (batch: string, text: string, deadline: number) => Promise<TextPlace | null>;
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -1,6 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import assertNever from '@cyclamengate/common/assertNever';
-import type { Batch, BatchRecord, Item, ItemResult, TextPlace } from './batchRecord.js';
+import type { Batch, BatchBegun, BatchRecord, Item, ItemResult, TextPlace } from './batchRecord.js';
 import type { PartTexts } from './newPartTexts.js';
 import type { Progress } from './progress.js';
 
@@ -17,7 +17,7 @@
   /** Whether this host began it before the store had it. */
   isBegunHere: boolean;
   /** Who else, by the log; `readAt` is on the monotonic clock. */
-  begunBy: { incarnation: string; readAt: number } | null;
+  begunBy: { host: string; incarnation: string; readAt: number } | null;
   /** When this host forgets it, on the monotonic clock. */
   keepUntil: number;
 }
@@ -77,10 +77,10 @@
     return known;
   };
 
-  const noteBegun = (id: string, incarnation: string): BatchState | null => {
-    const state = states.get(id);
+  const noteBegun = ({ batch, host, incarnation }: BatchBegun): BatchState | null => {
+    const state = states.get(batch);
     if (!state?.isKept || state.begunBy) return null;
-    state.begunBy = { incarnation, readAt: clock.now() };
+    state.begunBy = { host, incarnation, readAt: clock.now() };
     return state;
   };
 
@@ -112,7 +112,7 @@
       case 'batch-end':
         return end(record.batch);
       case 'batch-begun':
-        return noteBegun(record.batch, record.incarnation);
+        return noteBegun(record);
       default:
         return assertNever(record);
     }
--- a/packages/hosts/src/newMembers.ts
+++ b/packages/hosts/src/newMembers.ts
@@ -42,6 +42,13 @@
         .filter(({ deadline }) => clock.now() < deadline + REMEMBERED_MS)
         .map(({ heartbeat }) => heartbeat)
         .filter(({ isLeaving }) => !isLeaving),
+    /** Whether that run of a host's process said that it leaves, or was followed by another. */
+    hasLeft: (host: string, incarnation: string): boolean => {
+      const heartbeat = sightings.get(host)?.heartbeat;
+      return (
+        heartbeat !== undefined && (heartbeat.isLeaving || heartbeat.incarnation !== incarnation)
+      );
+    },
     /** Hosts that were heard of lately, also those that leave. */
     heard: (): Heartbeat[] =>
       [...sightings.values()]
