Trim by the store's own call; read more rarely with many hosts; moves compare an item with its own service

Cause: the store refused each trim ('the body can't be read'): its fields belong in the body; the stand-in had taken them where this code put them. Change: body of the trim; the pace of reading follows the number of hosts from 25 on, 2.5 times rarer at most; moves are planned by service, with a test.

--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -24,10 +24,13 @@
   store: Store;
   view: SettingsView;
   directory: Directory;
+  /** How much rarer to read, with many hosts. */
+  paceFactor: () => number;
 }
 
 /** Keeps the operator's settings, the trainers' named versions and the list of upstreams current. */
-const followPlatform = ({ clock, log, store, view, directory }: FollowPlatformOptions) => {
+const followPlatform = (options: FollowPlatformOptions) => {
+  const { clock, log, store, view, directory, paceFactor } = options;
   const versions = new Map<string, NewestVersion>();
 
   const applySettings = (value: Buffer, offset: number): void => {
@@ -68,7 +71,7 @@
     log,
     store,
     topic: OPERATOR_TOPIC,
-    paceMs: SETTINGS_PACE_MS,
+    readPaceMs: () => SETTINGS_PACE_MS,
     apply: applyOperator,
   });
   const upstreams = newKeyedFollower({
@@ -76,7 +79,7 @@
     log,
     store,
     topic: UPSTREAMS_TOPIC,
-    paceMs: UPSTREAMS_PACE_MS,
+    readPaceMs: () => UPSTREAMS_PACE_MS * paceFactor(),
     apply: applyUpstream,
     onBack: directory.storeIsBack,
   });
--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -32,11 +32,13 @@
   host: string;
   incarnation: string;
   lifeMs: number;
+  /** How much rarer to read, with many hosts. */
+  paceFactor: () => number;
 }
 
 /** Batches, followed in the store, and the way to write to them. */
 const newBatchStore = (options: BatchStoreOptions) => {
-  const { clock, log, store, host, incarnation, lifeMs } = options;
+  const { clock, log, store, host, incarnation, lifeMs, paceFactor } = options;
 
   const partTexts = newPartTexts(clock);
   const batches = newBatches({ clock, lifeMs, parts: partTexts });
@@ -52,7 +54,14 @@
       else log.warn('batches.unreadable', { offset, problems: restored.val.slice(0, 3) });
     });
 
-  const follower = newTopicFollower({ clock, log, store, topic: TOPIC, paceMs: PACE_MS, apply });
+  const follower = newTopicFollower({
+    clock,
+    log,
+    store,
+    topic: TOPIC,
+    readPaceMs: () => PACE_MS * paceFactor(),
+    apply,
+  });
   const writer = newStoreWriter({ clock, log, store, topic: TOPIC, producer: incarnation });
 
   const applyParts = (records: StoredRecord[]): void => {
@@ -70,7 +79,7 @@
     log,
     store,
     topic: PARTS_TOPIC,
-    paceMs: PACE_MS,
+    readPaceMs: () => PACE_MS,
     apply: applyParts,
   });
   const partWriter = newStoreWriter({
--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -22,6 +22,12 @@
 const TOPIC = 'coordination';
 /** Least time between two reads: bounds calls and processor time; a heartbeat is due every 500 ms. */
 const PACE_MS = 150;
+/**
+ * With more hosts there is more to read, and each read costs each host a wake-up: 80 hosts made 125,000
+ * calls in a minute. A claim must still be read back within 450 ms.
+ */
+const HOSTS_AT_FULL_PACE = 25;
+const SLOWEST_PACE_FACTOR = 2.5;
 /** Heartbeats of few hosts come so often; the more hosts, the rarer, to bound what all read. */
 const SHORTEST_HEARTBEAT_MS = 500;
 const HEARTBEAT_MS_A_HOST = 15;
@@ -89,7 +95,18 @@
       else log.warn('coordination.unreadable', { offset, problems: restored.val.slice(0, 3) });
     });
 
-  const follower = newTopicFollower({ clock, log, store, topic: TOPIC, paceMs: PACE_MS, apply });
+  /** How much rarer this host reads than it would among a few. */
+  const paceFactor = (): number =>
+    Math.min(SLOWEST_PACE_FACTOR, Math.max(1, memberCount / HOSTS_AT_FULL_PACE));
+
+  const follower = newTopicFollower({
+    clock,
+    log,
+    store,
+    topic: TOPIC,
+    readPaceMs: () => PACE_MS * paceFactor(),
+    apply,
+  });
   const writer = newStoreWriter({ clock, log, store, topic: TOPIC, producer: incarnation });
 
   const write = (record: CoordinationRecord, deadline: number): Promise<WriteOutcome> =>
@@ -179,6 +196,7 @@
     write,
     isFresh,
     newKeeper,
+    paceFactor,
     heartbeat,
     owns: newOwnership({ clock, host, rank, isFresh }),
     /** Requests that other hosts run at each upstream, by their newest heartbeats. */
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -94,8 +94,23 @@
   const relay = newPlainRelay(relayParts);
   const relayStream = newStreamRelay(relayParts);
   const lifeMs = terms.batchLifeSeconds * MS_PER_SECOND;
-  const batchStore = newBatchStore({ clock, log, store, host, incarnation, lifeMs });
-  const platform = followPlatform({ clock, log, store, view, directory });
+  const batchStore = newBatchStore({
+    clock,
+    log,
+    store,
+    host,
+    incarnation,
+    lifeMs,
+    paceFactor: coordination.paceFactor,
+  });
+  const platform = followPlatform({
+    clock,
+    log,
+    store,
+    view,
+    directory,
+    paceFactor: coordination.paceFactor,
+  });
   const runner = newBatchRunner({
     clock,
     log,
--- a/apps/platform-standin/src/newStoreServer.ts
+++ b/apps/platform-standin/src/newStoreServer.ts
@@ -9,6 +9,12 @@
 const POLL_MS = 5;
 const LATE_MS = 1_500;
 
+interface TrimCall {
+  topic: string;
+  part: number;
+  before: number;
+}
+
 /** How the store's interface misbehaves. */
 export interface StoreServerFaults {
   mode: 'well' | 'busy' | 'silent' | 'reset';
@@ -108,6 +114,12 @@
     sendJson(response, 200, { entries, 'has-more': false, end });
   };
 
+  const trim = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const { topic, before } = JSON.parse((await readAll(request)).toString()) as TrimCall;
+    memory.trim(topic, before);
+    sendJson(response, 200, {});
+  };
+
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const [path, query = ''] = (request.url ?? '').split('?');
     const fields = new URLSearchParams(query);
@@ -118,8 +130,7 @@
     else if (path === '/v1/log-read') await read(response, fields);
     else if (path === '/v1/log-newest') newest(response, fields);
     else if (path === '/v1/log-trim') {
-      memory.trim(fields.get('topic') ?? '', Number(fields.get('before') ?? 0));
-      sendJson(response, 200, {});
+      await trim(request, response);
     } else sendJson(response, 404, {});
   };
 
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -14,7 +14,6 @@
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { ItemResult, Part, TextPlace } from './batchRecord.js';
 import type { EventReader } from './EventReader.js';
-import findMoves from './findMoves.js';
 import type { Batches, BatchState } from './newBatches.js';
 import newAssignment from './newAssignment.js';
 import newItemFinisher from './newItemFinisher.js';
@@ -24,6 +23,7 @@
 import newTaskList from './newTaskList.js';
 import type { ItemTask } from './newTaskList.js';
 import newRefusals from './newRefusals.js';
+import planMoves from './planMoves.js';
 import planStarts from './planStarts.js';
 import { isFreshEnough, newProgress } from './progress.js';
 import runOnce from './runOnce.js';
@@ -251,29 +251,20 @@
   };
 
   const moveRunning = (): void => {
-    const running = tasks.running();
-    if (running.length === 0) return;
-    const services = new Set(running.map((task) => routeOf(task.state)?.splits[0]?.service ?? ''));
-    services.forEach((service) => {
-      const known = candidates(service);
-      const isLeaving = (id: string): boolean => !known.some(({ entry }) => entry.id === id);
-      const moves = findMoves(
-        running
-          .filter(({ movedAt }) => clock.now() > movedAt + MOVE_PAUSE_MS)
-          .map((task) => ({
-            key: task.key,
-            upstream: task.upstream ?? '',
-            expectedTokens: tasks.expectedTokens(task),
-          })),
-        known,
-        (id) => isListed(id) && isLeaving(id),
-      );
-      moves.forEach(({ key }) => {
-        const task = tasks.get(key);
-        if (!task) return;
-        task.movedAt = clock.now();
-        task.run?.abort('moved to a faster engine');
-      });
+    const running = tasks
+      .running()
+      .filter(({ movedAt }) => clock.now() > movedAt + MOVE_PAUSE_MS)
+      .map((task) => ({
+        key: task.key,
+        upstream: task.upstream ?? '',
+        expectedTokens: tasks.expectedTokens(task),
+        service: routeOf(task.state)?.splits[0]?.service ?? '',
+      }));
+    planMoves(running, candidates, isListed).forEach(({ key }) => {
+      const task = tasks.get(key);
+      if (!task) return;
+      task.movedAt = clock.now();
+      task.run?.abort('moved to a faster engine');
     });
   };
 
--- a/packages/batches/tests/planning.test.ts
+++ b/packages/batches/tests/planning.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import findMoves from '../src/findMoves.js';
 import newRefusals from '../src/newRefusals.js';
+import planMoves from '../src/planMoves.js';
 import planStarts from '../src/planStarts.js';
 import type { WaitingItem } from '../src/planStarts.js';
 import { newCandidate } from './helpers.js';
@@ -121,6 +122,23 @@
   t.is(moves.length, 1);
 });
 
+test("items of one service are not moved for another service's engines", (t) => {
+  // Two services run models. Compared with the engines of the other one, each item seemed to run on
+  // an engine that was leaving, and was broken off once a second.
+  const engines: Record<string, string> = { small: 'a', large: 'b' };
+  const running = Object.entries(engines).map(([service, upstream]) => ({
+    key: service,
+    upstream,
+    expectedTokens: 900,
+    service,
+  }));
+  const candidatesOf = (service: string) => [newCandidate(engines[service] ?? '')];
+  t.deepEqual(
+    planMoves(running, candidatesOf, () => true),
+    [],
+  );
+});
+
 test('no item moves while all engines are equally slow', (t) => {
   const candidates = [newCandidate('a', { pace: 140 }), newCandidate('b', { pace: 150 })];
   const running = [{ key: 'one', upstream: 'b', expectedTokens: 900 }];
--- a/packages/store/src/newKeyedFollower.ts
+++ b/packages/store/src/newKeyedFollower.ts
@@ -12,7 +12,7 @@
   store: Store;
   topic: string;
   /** Least time between two reads, in milliseconds. */
-  paceMs: number;
+  readPaceMs: () => number;
   /** A key has a newer record; a null value means that it was dropped. */
   apply: (record: KeyedRecord) => void;
   /** The store has answered again after it did not. */
@@ -27,7 +27,7 @@
  * remains, so the whole is read anew and what is no longer there counts as dropped.
  */
 const newKeyedFollower = (options: KeyedFollowerOptions) => {
-  const { clock, log, store, topic, paceMs, apply, onBack } = options;
+  const { clock, log, store, topic, readPaceMs, apply, onBack } = options;
   const offsets = new Map<string, number>();
   let next: number | null = null;
   let freshAt = -Infinity;
@@ -91,7 +91,7 @@
 
   const run = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
-      const nextReadAt = clock.now() + paceMs;
+      const nextReadAt = clock.now() + readPaceMs();
       const isRead: boolean = await (next === null ? readSnapshot(signal) : readTail(next, signal));
       note(isRead);
       await clock.sleepUntil(isRead ? nextReadAt : clock.now() + FAILED_PAUSE_MS, signal);
--- a/packages/store/src/newTopicFollower.ts
+++ b/packages/store/src/newTopicFollower.ts
@@ -16,7 +16,7 @@
   store: Store;
   topic: string;
   /** Least time between two reads: what it adds in delay it saves in calls. */
-  paceMs: number;
+  readPaceMs: () => number;
   apply: (records: StoredRecord[]) => void;
 }
 
@@ -28,7 +28,7 @@
  * is truly not there.
  */
 const newTopicFollower = (options: TopicFollowerOptions) => {
-  const { clock, log, store, topic, paceMs, apply } = options;
+  const { clock, log, store, topic, readPaceMs, apply } = options;
   let next = 0;
   let freshAt = -Infinity;
   /** The end that the newest answer named. */
@@ -91,7 +91,7 @@
   const run = async (signal: AbortSignal): Promise<void> => {
     isRunning = true;
     while (!signal.aborted) {
-      const nextReadAt = clock.now() + paceMs;
+      const nextReadAt = clock.now() + readPaceMs();
       const isRead = await readOnce(WAIT_MS, signal);
       const pauseUntil = next < knownEnd ? clock.now() : nextReadAt;
       await clock.sleepUntil(isRead ? pauseUntil : clock.now() + FAILED_PAUSE_MS, signal);
--- a/packages/store/tests/followers.test.ts
+++ b/packages/store/tests/followers.test.ts
@@ -21,7 +21,7 @@
     log: silentLog,
     store: memory.newView(),
     topic: 'batches',
-    paceMs: 0,
+    readPaceMs: () => 0,
     apply: (records) => records.forEach(({ body }) => seen.push(body.toString())),
   });
   memory.put('batches', [Buffer.from('a'), Buffer.from('b')]);
@@ -37,7 +37,7 @@
     log: silentLog,
     store: newMemoryStore().newView(faults),
     topic: 'batches',
-    paceMs: 0,
+    readPaceMs: () => 0,
     apply: () => {},
   });
   t.false(await follower.catchUp(clock.now() + 150));
@@ -57,7 +57,7 @@
     log: silentLog,
     store: memory.newView(),
     topic: 'batches',
-    paceMs: 0,
+    readPaceMs: () => 0,
     apply: (records) => records.forEach(({ body }) => seen.push(body.toString())),
   });
   t.true(await follower.catchUp(clock.now() + 1_000));
@@ -75,7 +75,7 @@
     log: silentLog,
     store: memory.newView(),
     topic: 'keyed.servers',
-    paceMs: 0,
+    readPaceMs: () => 0,
     apply: ({ key, value }) => {
       if (value === null) known.delete(key);
       else known.set(key, value.toString());
