--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -99,7 +99,7 @@
         const peer = peers.get(name);
         const isBegun = peer ? await beginAt(peer, batch) : beginHere(batch);
         if (isBegun) {
-          log.info('batch.begun-at', { batch: batch.id, host: name });
+          log.info('batch.begun-at', { batch: batch.id, runner: name });
           return;
         }
       }
