A process test waits for the log line that names the runner

Cause: the engine's run reaches the test by a socket, the host's line by a pipe; with all cores taken the first came sooner. The test now waits for the line; what it checks is unchanged. The second test of this form had slept 700 ms in between and waits for the line too.

--- a/apps/host/tests/wholePath.process.test.ts
+++ b/apps/host/tests/wholePath.process.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import { batchBody, readPage, readWhole, submit, textOf } from './batchHelpers.js';
 import { isReady, newHosts, send, until } from './newHosts.js';
+import type { TestHost } from './newHosts.js';
 
 const DOMAINS = ['detroit', 'cleveland'];
 
@@ -18,6 +19,14 @@
   return { platform, system, first, second, third, close };
 };
 
+/** The host that runs items. An engine's run reaches this process by a socket, the line by a pipe. */
+const findRunner = async (hosts: TestHost[]): Promise<TestHost> => {
+  const find = (): TestHost | undefined =>
+    hosts.find(({ events }) => events.some(({ event }) => event === 'item.started'));
+  await until(() => find() !== undefined);
+  return find() as TestHost;
+};
+
 test.serial('a batch is run, scored, and read alike at every host', async (t) => {
   const { platform, first, second, third, close } = await newSystem();
   t.is((await submit(first, 'b1', batchBody('b1', 3, 4))).status, 202);
@@ -118,11 +127,8 @@
   });
   t.is((await submit(first, 'b3', batchBody('b3', 2, 4))).status, 202);
   await until(() => platform.engines.some(({ runs }) => runs.length > 0));
-  const runner = system.hosts.find(({ events }) =>
-    events.some(({ event }) => event === 'item.started'),
-  );
-  t.truthy(runner);
-  await runner?.end('SIGKILL');
+  const runner = await findRunner(system.hosts);
+  await runner.end('SIGKILL');
   platform.engines.forEach(({ faults }) => {
     faults.slowness = 1;
   });
@@ -214,17 +220,15 @@
   await new Promise((resolve) => {
     setTimeout(resolve, 700);
   });
-  const runner = system.hosts.find(({ events }) =>
-    events.some(({ event }) => event === 'item.started'),
-  );
-  const ended = runner?.end('SIGTERM');
+  const runner = await findRunner(system.hosts);
+  const ended = runner.end('SIGTERM');
   const survivor = system.hosts.find((host) => host !== runner) as typeof first;
   const page = await readWhole(survivor, 'b9');
   t.true(page.results.every(({ id, text }) => text === textOf(id)));
   const resumed = platform.engines.flatMap(({ runs }) => runs).filter((r) => r.lastEventId > 0);
   t.true(resumed.length > 0);
   await ended;
-  t.is(runner?.child.exitCode, 0);
+  t.is(runner.child.exitCode, 0);
   await close();
 });
 
