Process tests of hosts take ports that no connection takes

Cause: the port was taken from the range for connections, closed, and given to another test's connection before the host listened. Ports now come from below that range, apart for each test process.

--- a/apps/host/tests/newHosts.ts
+++ b/apps/host/tests/newHosts.ts
@@ -3,7 +3,6 @@
 import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -15,13 +14,26 @@
 const PROGRAM = fileURLToPath(new URL('../src/main.js', import.meta.url));
 const START_MS = 15_000;
 
+/** Below the range from which the system takes ports for connections; apart for each test process. */
+const FIRST_PORT = 12_000;
+const PORTS_A_PROCESS = 100;
+const PROCESSES = 180;
+let nextPort = FIRST_PORT + (process.pid % PROCESSES) * PORTS_A_PROCESS;
+
+/**
+ * A port that nobody listens on. One from the range for connections can be taken by another test's
+ * connection before the host listens on it: the host then fails to start.
+ */
 const freePort = async (): Promise<number> => {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
+  nextPort += 1;
+  const port = nextPort;
+  const server = createServer();
+  const isFree = await new Promise<boolean>((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
+  });
   server.close();
-  await once(server, 'close');
-  return port;
+  return isFree ? port : freePort();
 };
 
 /** One host's process. */
