Reads of batches say why they fail: late, gone, refused, or not known

What callers saw: batches that could not be read. The lines could not tell hypotheses apart: a read that came too late wrote nothing, every refusal said store-away, an answered read left no line. No decision changes.

--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -79,7 +79,7 @@
   const findItem = async (state: BatchState, itemId: string): Promise<Item | Refusal> => {
     if (!state.items.has(itemId)) return rejected(404, 'no-such-item');
     const items = await store.requests.read(state);
-    return items?.get(itemId) ?? notRun('store-away', STORE_RETRY_MS);
+    return items?.get(itemId) ?? notRun('requests-unread', STORE_RETRY_MS);
   };
 
   const accept = async (
@@ -145,6 +145,17 @@
     return cut === -1 ? rest : rest.slice(0, cut);
   };
 
+  const noteRead = ({ batch, items, results, isEnded }: BatchState, from: number, given: number) =>
+    log.info('batch.read', {
+      batch: batch.id,
+      from,
+      given,
+      results: results.length,
+      items: items.size,
+      isEnded,
+      viewAgeMs: Math.round(clock.now() - store.freshAt()),
+    });
+
   const read = async (
     request: CallerRequest,
     response: ServerResponse,
@@ -167,8 +178,12 @@
     const page = pageOf(found, from);
     const places = page.map(({ text }) => text);
     const texts = await store.texts.read(places, clock.now() + READ_TEXTS_MS);
-    if (!texts) refuse(response, request, id, notRun('store-away', STORE_RETRY_MS));
-    else sendJson(response, 200, formatResults(found.items.size, from, page, texts));
+    if (!texts) {
+      refuse(response, request, id, notRun('texts-unread', STORE_RETRY_MS));
+      return;
+    }
+    sendJson(response, 200, formatResults(found.items.size, from, page, texts));
+    if (page.length > 0) noteRead(found, from, page.length);
   };
 
   const readItem = async (
--- a/packages/batches/src/newTexts.ts
+++ b/packages/batches/src/newTexts.ts
@@ -27,6 +27,15 @@
   producer: string;
 }
 
+/** What one reading of texts took until now. */
+interface ReadEffort {
+  wanted: number;
+  reads: number;
+  bytes: number;
+  /** On the monotonic clock. */
+  startedAt: number;
+}
+
 const piecesOf = (text: string): Buffer[] => {
   const whole = Buffer.from(text);
   const count = Math.max(1, Math.ceil(whole.length / MOST_RECORD_BYTES));
@@ -79,24 +88,42 @@
   const isMissing = (place: TextPlace, found: Map<string, Buffer>): boolean =>
     offsetsOf(place).some((offset) => !found.has(`${place.topic}/${offset}`));
 
-  const readMissing = async (missing: TextPlace[], found: Map<string, Buffer>) => {
+  /** @returns why the store gave none of them; null where it gave some */
+  const readMissing = async (
+    missing: TextPlace[],
+    found: Map<string, Buffer>,
+    effort: ReadEffort,
+  ): Promise<string | null> => {
     const [first] = [...missing].sort((left, right) => left.offset - right.offset);
-    if (!first) return true;
+    if (!first) return null;
     const same = missing.filter(({ topic }) => topic === first.topic);
     const bytes = same.reduce((sum, place) => sum + place.bytes, 0);
     const pageBytes = (same.length > 1 ? bytes * READ_FACTOR : bytes) + PAGE_OVERHEAD_BYTES;
     const kb = Math.ceil(pageBytes / BYTES_IN_KB);
     const mostKb = Math.min(MOST_READ_KB, Math.max(LEAST_READ_KB, kb));
+    effort.reads += 1;
     const page = await store.read(first.topic, first.offset, 0, undefined, mostKb);
     if (!page.ok) {
       log.warn('texts.read-failed', { topic: first.topic, from: first.offset, fault: page.val });
-      return false;
+      return page.val.type;
     }
     page.val.records.forEach(({ offset, body }) => {
+      effort.bytes += body.length;
       found.set(`${first.topic}/${offset}`, body);
       cache.put(first.topic, offset, body);
     });
-    return page.val.records.length > 0;
+    return page.val.records.length > 0 ? null : 'no-records';
+  };
+
+  /** What reading from the store took, so that a text that is late can be told from one that is gone. */
+  const noteEffort = (
+    missing: TextPlace[],
+    { startedAt, ...effort }: ReadEffort,
+    fault: string | null,
+  ): void => {
+    const took = { ...effort, tookMs: Math.round(clock.now() - startedAt) };
+    if (fault === null) log.info('texts.read', took);
+    else log.warn('texts.unread', { ...took, fault, missing: missing.length, first: missing[0] });
   };
 
   /** @returns the texts in the same order; null when the store does not give them by the deadline */
@@ -110,10 +137,14 @@
       }),
     );
     let missing = wanted.filter((place) => isMissing(place, found));
-    while (missing.length > 0) {
-      if (clock.now() >= deadline || !(await readMissing(missing, found))) return null;
+    let fault: string | null = null;
+    const effort = { wanted: wanted.length, reads: 0, bytes: 0, startedAt: clock.now() };
+    while (missing.length > 0 && fault === null) {
+      fault = clock.now() >= deadline ? 'late' : await readMissing(missing, found, effort);
       missing = missing.filter((place) => isMissing(place, found));
     }
+    if (effort.reads > 0 || fault !== null) noteEffort(missing, effort, fault);
+    if (fault !== null) return null;
     const textOf = (place: TextPlace): string =>
       Buffer.concat(
         offsetsOf(place).flatMap((offset) => found.get(`${place.topic}/${offset}`) ?? []),
--- a/packages/batches/tests/newTexts.test.ts
+++ b/packages/batches/tests/newTexts.test.ts
@@ -1,3 +1,4 @@
+import type { EventFields } from '@cyclamengate/common/newEventLog';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import newMemoryStore, { newNoFaults } from '@cyclamengate/store/newMemoryStore';
 import test from 'ava';
@@ -11,7 +12,14 @@
   const newHost = (producer: string) => {
     const faults = newNoFaults();
     const store = memory.newView(faults);
-    return { faults, texts: newTexts({ clock, log: silentLog, store, producer }) };
+    const unread: unknown[] = [];
+    const log = {
+      ...silentLog,
+      warn: (event: string, fields: EventFields = {}) => {
+        if (event === 'texts.unread') unread.push(fields.fault);
+      },
+    };
+    return { faults, unread, texts: newTexts({ clock, log, store, producer }) };
   };
   return { clock, writer: newHost('host-1'), reader: newHost('host-2') };
 };
@@ -43,6 +51,18 @@
   t.deepEqual(await writer.texts.read([place], clock.now() + 1_000), ['text']);
 });
 
+test('a text that came too late can be told from one that is gone', async (t) => {
+  // All three are a refusal to the caller; only the line tells an operator what to look for.
+  const { clock, writer, reader } = newHosts();
+  const place = await writer.texts.write('b', 'text', clock.now() + 1_000);
+  const gone = { ...place!, offset: 7 };
+  t.is(await reader.texts.read([place], clock.now()), null);
+  t.is(await reader.texts.read([gone], clock.now() + 1_000), null);
+  reader.faults.isRefusing = true;
+  t.is(await reader.texts.read([place], clock.now() + 1_000), null);
+  t.deepEqual(reader.unread, ['late', 'no-records', 'not-done']);
+});
+
 test('a text whose place is not known does not count as written', async (t) => {
   // The answer to the append is lost, and its repetition too. A result that named a guessed place
   // would show another item's text.
--- a/packages/engines/src/newDirectory.ts
+++ b/packages/engines/src/newDirectory.ts
@@ -35,9 +35,9 @@
     });
 
   const noteChange = (entry: UpstreamEntry, before: UpstreamEntry | undefined): void => {
+    // Not of each new version: on each host that is a line an engine and step, and drowns all others.
     const isNews = !before || before.isDraining !== entry.isDraining || !isSameRun(before, entry);
-    const versions = (of?: UpstreamEntry): string => JSON.stringify(of?.models ?? []);
-    if (!isNews && versions(before) === versions(entry)) return;
+    if (!isNews) return;
     const { id, service, failureDomain, isDraining, isSpot, models } = entry;
     log.info('upstream.listed', {
       upstream: id,
