--- a/apps/platform-standin/src/newStoreServer.ts
+++ b/apps/platform-standin/src/newStoreServer.ts
@@ -8,6 +8,8 @@
 const OFFSET_BYTES = 8;
 const POLL_MS = 5;
 const LATE_MS = 1_500;
+/** What a page holds where its reader names no size. */
+const MOST_KB = 1_024;
 
 interface TrimCall {
   topic: string;
@@ -86,12 +88,13 @@
     const topic = query.get('topic') ?? '';
     const from = Number(query.get('from') ?? 0);
     const until = Date.now() + Number(query.get('wait-ms') ?? 0);
-    let page = memory.read(topic, from);
+    const mostKb = Number(query.get('max-kb') ?? MOST_KB);
+    let page = memory.read(topic, from, mostKb);
     while (page.ok && page.val.records.length === 0 && Date.now() < until) {
       await new Promise((resolve) => {
         setTimeout(resolve, POLL_MS);
       });
-      page = memory.read(topic, from);
+      page = memory.read(topic, from, mostKb);
     }
     if (!page.ok) {
       sendJson(response, 410, { first: page.val.type === 'expired' ? page.val.first : 0 });
--- a/packages/store/src/newMemoryStore.ts
+++ b/packages/store/src/newMemoryStore.ts
@@ -14,6 +14,11 @@
 /** The store keeps the answers of so many appends of a producer, as the platform's does. */
 const REMEMBERED_APPENDS = 5;
 const POLL_MS = 2;
+/** What a page holds where its reader names no size, as the platform's does. */
+const MOST_KB = 1_024;
+const BYTES_IN_KB = 1_024;
+/** A record's length stands before it in a page. */
+const FRAME_BYTES = 4;
 
 interface Topic {
   first: number;
@@ -103,10 +108,21 @@
     return Ok({ offset });
   };
 
-  const read = (name: string, from: number): Result<StorePage, StoreFault> => {
+  /** Records from an offset on, up to so many bytes; one at least where there is one. */
+  const pageOf = ({ first, records }: Topic, from: number, mostBytes: number): StoredRecord[] => {
+    const rest = records.slice(from - first);
+    let bytes = 0;
+    const cut = rest.findIndex(({ body }, index) => {
+      bytes += body.length + FRAME_BYTES;
+      return index > 0 && bytes > mostBytes;
+    });
+    return cut === -1 ? rest : rest.slice(0, cut);
+  };
+
+  const read = (name: string, from: number, mostKb = MOST_KB): Result<StorePage, StoreFault> => {
     const topic = topicOf(name);
     if (from < topic.first) return Err({ type: 'expired', first: topic.first });
-    const records = topic.records.slice(from - topic.first);
+    const records = pageOf(topic, from, mostKb * BYTES_IN_KB);
     return Ok({ end: endOf(topic), first: topic.first, records });
   };
 
@@ -159,10 +175,11 @@
         from: number,
         waitMs: number,
         signal?: AbortSignal,
+        mostKb?: number,
       ): Promise<Result<StorePage, StoreFault>> {
         const waitUntil = Date.now() + waitMs;
         for (;;) {
-          const page = fault() ?? read(topic, from);
+          const page = fault() ?? read(topic, from, mostKb);
           const isEmpty = page.ok && page.val.records.length === 0;
           if (!isEmpty || Date.now() >= waitUntil || signal?.aborted) return page;
           await pause();
