--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -6,6 +6,7 @@
 import keepOrSee from '@cyclamengate/batches/keepOrSee';
 import type { BatchKeeper } from '@cyclamengate/batches/newBatchKeeper';
 import type { BatchState } from '@cyclamengate/batches/newBatches';
+import newResultPages from '@cyclamengate/batches/newResultPages';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import { sendJson } from '@cyclamengate/common/handler';
@@ -28,11 +29,6 @@
 const FRESH_MS = 700;
 /** A caller whose batch could not be kept comes back when the store's hiccup may be over. */
 const STORE_RETRY_MS = 300;
-const MOST_PAGE_BYTES = 900_000;
-/** What a result needs beside its text. */
-const RESULT_BYTES = 300;
-/** Texts are read within some milliseconds; a caller asks twice a second. */
-const READ_TEXTS_MS = 700;
 
 export interface BatchHandlerOptions {
   clock: Clock;
@@ -46,6 +42,7 @@
 const newBatchHandlers = (options: BatchHandlerOptions) => {
   const { clock, log, store, keep, readSettings } = options;
   const { batches } = store;
+  const pages = newResultPages({ clock, readTexts: store.texts.read });
 
   const refuse = (
     response: ServerResponse,
@@ -135,16 +132,6 @@
     return clock.sleepUntil(until, wait.signal).finally(stop);
   };
 
-  const pageOf = (state: BatchState, from: number) => {
-    let bytes = 0;
-    const rest = state.results.slice(from);
-    const cut = rest.findIndex(({ text }, index) => {
-      bytes += (text?.bytes ?? 0) + RESULT_BYTES;
-      return index > 0 && bytes > MOST_PAGE_BYTES;
-    });
-    return cut === -1 ? rest : rest.slice(0, cut);
-  };
-
   const noteRead = ({ batch, items, results, isEnded }: BatchState, from: number, given: number) =>
     log.info('batch.read', {
       batch: batch.id,
@@ -175,15 +162,14 @@
       refuse(response, request, id, notRun('store-away', STORE_RETRY_MS));
       return;
     }
-    const page = pageOf(found, from);
-    const places = page.map(({ text }) => text);
-    const texts = await store.texts.read(places, clock.now() + READ_TEXTS_MS);
-    if (!texts) {
+    const page = await pages.read(found.results, from);
+    if (!page) {
       refuse(response, request, id, notRun('texts-unread', STORE_RETRY_MS));
       return;
     }
-    sendJson(response, 200, formatResults(found.items.size, from, page, texts));
-    if (page.length > 0) noteRead(found, from, page.length);
+    const { results, texts } = page;
+    sendJson(response, 200, formatResults(found.items.size, from, results, texts));
+    if (results.length > 0) noteRead(found, from, results.length);
   };
 
   const readItem = async (
