--- /dev/null
+++ b/packages/batches/tests/newSlowView.ts
@@ -0,0 +1,70 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { Result } from '@cyclamengate/common/outcome';
+import type { ManualClock } from '@cyclamengate/fakes/newManualClock';
+import Store from '@cyclamengate/store/Store';
+import type {
+  Appended,
+  KeyedRecord,
+  KeyedSnapshot,
+  Producer,
+  StoredRecord,
+  StorePage,
+} from '@cyclamengate/store/Store';
+import type { StoreFault } from '@cyclamengate/store/storeFault';
+
+interface Link {
+  latencyMs: number;
+  bytesAMs: number;
+}
+
+/** A store whose pages take time on a host's link. */
+export const newSlowView = (clock: Clock, store: Store, { latencyMs, bytesAMs }: Link): Store => {
+  class SlowView extends Store {
+    async read(
+      topic: string,
+      from: number,
+      waitMs: number,
+      signal?: AbortSignal,
+      mostKb?: number,
+    ): Promise<Result<StorePage, StoreFault>> {
+      const page = await store.read(topic, from, waitMs, signal, mostKb);
+      const records = page.ok ? page.val.records : [];
+      const bytes = records.reduce((sum, { body }) => sum + body.length, 0);
+      await clock.sleepUntil(clock.now() + latencyMs + bytes / bytesAMs);
+      return page;
+    }
+
+    append(
+      topic: string,
+      records: Buffer[],
+      producer: Producer,
+    ): Promise<Result<Appended, StoreFault>> {
+      return store.append(topic, records, producer);
+    }
+
+    trim(topic: string, before: number): Promise<Result<void, StoreFault>> {
+      return store.trim(topic, before);
+    }
+
+    newest(topic: string, signal?: AbortSignal): Promise<Result<KeyedSnapshot, StoreFault>> {
+      return store.newest(topic, signal);
+    }
+
+    keyed(record: StoredRecord): KeyedRecord {
+      return store.keyed(record);
+    }
+  }
+  return new SlowView();
+};
+
+const STEP_MS = 5;
+
+/** Moves time on until something is done. */
+export const drive = async <T>(clock: ManualClock, work: Promise<T>): Promise<T> => {
+  let isDone = false;
+  work.finally(() => {
+    isDone = true;
+  });
+  while (!isDone) await clock.advance(STEP_MS);
+  return work;
+};
--- a/packages/batches/tests/newTexts.test.ts
+++ b/packages/batches/tests/newTexts.test.ts
@@ -5,6 +5,7 @@
 import newTextCache from '../src/newTextCache.js';
 import newTexts from '../src/newTexts.js';
 import { silentLog } from './helpers.js';
+import { drive, newSlowView } from './newSlowView.js';
 
 const newHosts = () => {
   const clock = newManualClock();
@@ -21,7 +22,7 @@
     };
     return { faults, unread, texts: newTexts({ clock, log, store, producer }) };
   };
-  return { clock, writer: newHost('host-1'), reader: newHost('host-2') };
+  return { clock, memory, writer: newHost('host-1'), reader: newHost('host-2') };
 };
 
 test('any host gives the texts of results, in the order in which they are asked for', async (t) => {
@@ -41,6 +42,16 @@
   t.deepEqual(await reader.texts.read([place], clock.now() + 1_000), [long]);
 });
 
+test('the requests of a large batch, more than one page of the store holds, are read', async (t) => {
+  // Each call would bring the same first records again, and the batch would never begin.
+  const { clock, memory, writer } = newHosts();
+  const long = 'x'.repeat(2_500_000);
+  const place = await writer.texts.write('b', long, clock.now() + 1_000);
+  const store = newSlowView(clock, memory.newView(), { latencyMs: 4, bytesAMs: 50_000 });
+  const texts = newTexts({ clock, log: silentLog, store, producer: 'host-3' });
+  t.is((await drive(clock, texts.read([place], clock.now() + 700)))?.[0]?.length, long.length);
+});
+
 test('a text that can not be read is never given as an empty one', async (t) => {
   // The store turns one host away. A trainer that got empty texts from it would train on them; the
   // host has to say that it can't answer.
