A text of more than one page of the store is read record by record

What callers would see: a batch whose requests are over a mebibyte is accepted, never begins, and its items' bodies can't be read: each call to the store began at the text's first record and brought the same page again until the time was up. The test failed before (undefined for 2,500,000 bytes). Now a reading goes on from the first record that it lacks. Calls bring 512 KiB at most, a tenth of a second on the weakest link.

--- a/packages/batches/src/newTexts.ts
+++ b/packages/batches/src/newTexts.ts
@@ -13,10 +13,13 @@
 const MOST_RECORD_BYTES = 250_000;
 /** Records of other batches lie between several that are wanted; one read should bring all. */
 const READ_FACTOR = 2;
-/** What a page has beside its records' bytes. */
-const PAGE_OVERHEAD_BYTES = 1_024;
+/** A record's length stands before it in a page. */
+const FRAME_BYTES = 4;
+/** How far before the text of an earlier result that of a later one may stand. */
+const NEAR_RECORDS = 64;
 const LEAST_READ_KB = 16;
-const MOST_READ_KB = 1_024;
+/** A weak host's link of 42 Mbit/s carries so much in a tenth of a second. */
+const MOST_READ_KB = 512;
 const BYTES_IN_KB = 1_024;
 
 export interface TextsOptions {
@@ -36,6 +39,29 @@
   startedAt: number;
 }
 
+/** One record of a text. */
+interface RecordPlace {
+  topic: string;
+  offset: number;
+  bytes: number;
+}
+
+interface NextRead {
+  from: number;
+  kb: number;
+}
+
+const keyOf = ({ topic, offset }: Pick<RecordPlace, 'topic' | 'offset'>): string =>
+  `${topic}/${offset}`;
+
+/** The records of a text, as `piecesOf` cut it; none where there is no text. */
+const recordsOf = (place: TextPlace | null): RecordPlace[] =>
+  Array.from({ length: place?.count ?? 0 }, (_, index) => ({
+    topic: place?.topic ?? '',
+    offset: (place?.offset ?? 0) + index,
+    bytes: Math.min(MOST_RECORD_BYTES, (place?.bytes ?? 0) - index * MOST_RECORD_BYTES),
+  }));
+
 const piecesOf = (text: string): Buffer[] => {
   const whole = Buffer.from(text);
   const count = Math.max(1, Math.ceil(whole.length / MOST_RECORD_BYTES));
@@ -82,42 +108,47 @@
     return { topic, offset, count: pieces.length, bytes };
   };
 
-  const offsetsOf = ({ offset, count }: TextPlace): number[] =>
-    Array.from({ length: count }, (_, index) => offset + index);
-
-  const isMissing = (place: TextPlace, found: Map<string, Buffer>): boolean =>
-    offsetsOf(place).some((offset) => !found.has(`${place.topic}/${offset}`));
+  /**
+   * Where to read next, for the first record that is missing. Texts are written nearly in the order of
+   * their results: records a little before it are wanted as well, and one page should bring all.
+   */
+  const nextRead = (missing: RecordPlace[], first: RecordPlace): NextRead => {
+    const near = missing.filter(
+      ({ topic, offset }) => topic === first.topic && offset >= first.offset - NEAR_RECORDS,
+    );
+    const from = Math.min(...near.map(({ offset }) => offset));
+    const bytes = near.reduce((sum, record) => sum + record.bytes + FRAME_BYTES, 0);
+    const kb = Math.ceil((near.length > 1 ? bytes * READ_FACTOR : bytes) / BYTES_IN_KB);
+    return { from, kb: Math.min(MOST_READ_KB, Math.max(LEAST_READ_KB, kb)) };
+  };
 
   /** @returns why the store gave none of them; null where it gave some */
   const readMissing = async (
-    missing: TextPlace[],
+    missing: RecordPlace[],
     found: Map<string, Buffer>,
     effort: ReadEffort,
   ): Promise<string | null> => {
-    const [first] = [...missing].sort((left, right) => left.offset - right.offset);
+    const [first] = missing;
     if (!first) return null;
-    const same = missing.filter(({ topic }) => topic === first.topic);
-    const bytes = same.reduce((sum, place) => sum + place.bytes, 0);
-    const pageBytes = (same.length > 1 ? bytes * READ_FACTOR : bytes) + PAGE_OVERHEAD_BYTES;
-    const kb = Math.ceil(pageBytes / BYTES_IN_KB);
-    const mostKb = Math.min(MOST_READ_KB, Math.max(LEAST_READ_KB, kb));
+    const { topic } = first;
+    const { from, kb } = nextRead(missing, first);
     effort.reads += 1;
-    const page = await store.read(first.topic, first.offset, 0, undefined, mostKb);
+    const page = await store.read(topic, from, 0, undefined, kb);
     if (!page.ok) {
-      log.warn('texts.read-failed', { topic: first.topic, from: first.offset, fault: page.val });
+      log.warn('texts.read-failed', { topic, from, fault: page.val });
       return page.val.type;
     }
     page.val.records.forEach(({ offset, body }) => {
       effort.bytes += body.length;
-      found.set(`${first.topic}/${offset}`, body);
-      cache.put(first.topic, offset, body);
+      found.set(keyOf({ topic, offset }), body);
+      cache.put(topic, offset, body);
     });
     return page.val.records.length > 0 ? null : 'no-records';
   };
 
   /** What reading from the store took, so that a text that is late can be told from one that is gone. */
   const noteEffort = (
-    missing: TextPlace[],
+    missing: RecordPlace[],
     { startedAt, ...effort }: ReadEffort,
     fault: string | null,
   ): void => {
@@ -126,30 +157,30 @@
     else log.warn('texts.unread', { ...took, fault, missing: missing.length, first: missing[0] });
   };
 
-  /** @returns the texts in the same order; null when the store does not give them by the deadline */
-  const read = async (places: (TextPlace | null)[], deadline: number): Promise<string[] | null> => {
-    const wanted = places.flatMap((place) => (place ? [place] : []));
-    const found = new Map<string, Buffer>();
-    wanted.forEach((place) =>
-      offsetsOf(place).forEach((offset) => {
-        const cached = cache.get(place.topic, offset);
-        if (cached) found.set(`${place.topic}/${offset}`, cached);
+  const findCached = (records: RecordPlace[]): Map<string, Buffer> =>
+    new Map(
+      records.flatMap((record): [string, Buffer][] => {
+        const body = cache.get(record.topic, record.offset);
+        return body ? [[keyOf(record), body]] : [];
       }),
     );
-    let missing = wanted.filter((place) => isMissing(place, found));
+
+  /** @returns the texts in the same order; null when the store does not give them by the deadline */
+  const read = async (places: (TextPlace | null)[], deadline: number): Promise<string[] | null> => {
+    const records = places.flatMap(recordsOf);
+    const found = findCached(records);
+    const isMissing = (record: RecordPlace): boolean => !found.has(keyOf(record));
+    let missing = records.filter(isMissing);
     let fault: string | null = null;
-    const effort = { wanted: wanted.length, reads: 0, bytes: 0, startedAt: clock.now() };
+    const effort = { wanted: places.length, reads: 0, bytes: 0, startedAt: clock.now() };
     while (missing.length > 0 && fault === null) {
       fault = clock.now() >= deadline ? 'late' : await readMissing(missing, found, effort);
-      missing = missing.filter((place) => isMissing(place, found));
+      missing = missing.filter(isMissing);
     }
     if (effort.reads > 0 || fault !== null) noteEffort(missing, effort, fault);
     if (fault !== null) return null;
-    const textOf = (place: TextPlace): string =>
-      Buffer.concat(
-        offsetsOf(place).flatMap((offset) => found.get(`${place.topic}/${offset}`) ?? []),
-      ).toString();
-    return places.map((place) => (place ? textOf(place) : ''));
+    const bodyOf = (record: RecordPlace): Buffer[] => [found.get(keyOf(record)) ?? []].flat();
+    return places.map((place) => Buffer.concat(recordsOf(place).flatMap(bodyOf)).toString());
   };
 
   return { write, read };
