An append that may have landed is repeated exactly as it was sent

What callers saw, or could: a text at another item's place, or at none (a batch unreadable at every host that did not write it, so at every host after a loss of power); and a batch that was answered "not run" and ran. Cause: writes gather in one append. Where the store refuses, those whose deadline passes are given up and the rest is sent; if that answer was lost, the repetition held the whole group again. The store answered with the first append's offset, and places were counted over the longer group: one too high for each write that was given up. If it had not landed, what was given up landed with it. Evidence: two tests that failed before (places 2 and 3 for 1 and 2; 'a' stands though it is not-written). Why it works: what is repeated is what was sent last, until an answer is certain.

--- a/packages/store/src/newStoreWriter.ts
+++ b/packages/store/src/newStoreWriter.ts
@@ -97,11 +97,13 @@
 
   const send = async (group: Write[]): Promise<void> => {
     let live = group;
+    // One that may have landed is repeated as it was sent: the store answers for what came first.
+    let sent = group;
     let isAmbiguous = false;
     let failures = 0;
     const name = (): Producer => ({ name: producer, epoch, sequence });
     while (live.length > 0 || isAmbiguous) {
-      const sent = isAmbiguous ? group : live;
+      if (!isAmbiguous) sent = live;
       const startedAt = clock.now();
       const answer = await store.append(
         topic,
--- a/packages/store/tests/newStoreWriter.test.ts
+++ b/packages/store/tests/newStoreWriter.test.ts
@@ -74,6 +74,44 @@
   t.deepEqual(texts(), ['a']);
 });
 
+/** Three writes in one group; the first is given up while the store refuses. */
+const giveUpFirstOfThree = async () => {
+  const parts = newParts();
+  const { clock, faults, writer } = parts;
+  const place = (text: string, lifeMs: number) =>
+    writer.place([Buffer.from(text)], clock.now() + lifeMs);
+  place('opening', 20_000);
+  faults.isRefusing = true;
+  const writes = [place('a', 500), place('b', 20_000), place('c', 20_000)];
+  await clock.advance(1_000);
+  faults.isRefusing = false;
+  return { ...parts, writes };
+};
+
+test('a place is right though a write beside it was given up before the answer was lost', async (t) => {
+  // The repetition held one record more: each place was one too high, and showed another text or none.
+  const { clock, faults, texts, writes } = await giveUpFirstOfThree();
+  faults.lostAnswers = 1;
+  await clock.advance(2_000);
+  t.deepEqual(texts(), ['opening', 'b', 'c']);
+  t.deepEqual(await Promise.all(writes), [
+    { outcome: 'not-written', offset: null },
+    { outcome: 'written', offset: 1 },
+    { outcome: 'written', offset: 2 },
+  ]);
+});
+
+test('a write that was given up does not land with the repetition of those beside it', async (t) => {
+  // Its caller was told that nothing runs and sent it elsewhere; it stood and ran after all.
+  const { clock, memory, faults, texts, writes } = await giveUpFirstOfThree();
+  faults.lateAppends = 1;
+  await clock.advance(2_000);
+  memory.landLate();
+  const outcomes = (await Promise.all(writes)).map(({ outcome }) => outcome);
+  t.deepEqual(outcomes, ['not-written', 'written', 'written']);
+  t.deepEqual(texts(), ['opening', 'b', 'c']);
+});
+
 test('after an uncertain append the next one still follows in order', async (t) => {
   // A write that waits behind an uncertain one must not be lost or go first.
   const { clock, faults, writer, texts } = newParts();
