--- a/packages/batches/src/newBatchKeeper.ts
+++ b/packages/batches/src/newBatchKeeper.ts
@@ -1,5 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import within from '@cyclamengate/common/within';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { Batch, BatchChange } from './batchRecord.js';
 
@@ -31,15 +32,6 @@
  * to be "not run".
  */
 const newBatchKeeper = ({ clock, log, write, askPeers, begin }: BatchKeeperOptions) => {
-  /** Whether a promise settles within a time, and with what. */
-  const within = async <T>(promise: Promise<T>, deadline: number): Promise<T | null> => {
-    const settled = new AbortController();
-    const timer = clock.sleepUntil(deadline, settled.signal).then(() => null);
-    const first = await Promise.race([promise, timer]);
-    settled.abort('settled');
-    return first;
-  };
-
   const beginUnkept = (record: BatchChange): boolean => {
     if (record.type !== 'batch') return false;
     log.warn('batch.begun-unkept', { batch: record.id, model: record.model, step: record.step });
@@ -49,10 +41,10 @@
 
   const keep = async (record: BatchChange, deadline: number): Promise<WriteOutcome> => {
     const own = write(record, deadline);
-    const alone = await within(own, Math.min(deadline, clock.now() + ALONE_MS));
+    const alone = await within(clock, own, Math.min(deadline, clock.now() + ALONE_MS));
     if (alone === 'written') return alone;
     const peers = askPeers(record);
-    const quick = await within(peers, clock.now() + PEERS_MS);
+    const quick = await within(clock, peers, clock.now() + PEERS_MS);
     if (quick === 'written') return quick;
     const isBegun = beginUnkept(record);
     const outcomes = await Promise.all([own, quick ?? peers]);
--- a/packages/batches/src/newTextCache.ts
+++ b/packages/batches/src/newTextCache.ts
@@ -28,4 +28,6 @@
   };
 };
 
+export type TextCache = ReturnType<typeof newTextCache>;
+
 export default newTextCache;
--- a/packages/batches/tests/newResultPages.test.ts
+++ b/packages/batches/tests/newResultPages.test.ts
@@ -78,6 +78,20 @@
   t.is(read, ITEMS);
 });
 
+test('a result comes though the texts of later ones were written before its own', async (t) => {
+  // Scores come back in another order than texts were written; time ran out on what stood before it.
+  const scene = await newScene();
+  const order = Array.from({ length: ITEMS }, (_, index) => index - 2 * (index % 8) + 7);
+  const results = order.map((index) => scene.results[index] as ItemResult);
+  const { read } = scene.newReader();
+  const froms = [0, 8, 16, 24, 32, 40, 48, 56];
+  const pages = await drive(scene.clock, Promise.all(froms.map((from) => read(results, from))));
+  t.deepEqual(
+    pages.map((page) => page?.texts[0]),
+    froms.map((from) => textOf(order[from] ?? 0)),
+  );
+});
+
 test('callers that ask a weak host at the same moment all get some results in time', async (t) => {
   // Several batches are read at once, and share the host's link; each call came too late then.
   const scene = await newScene();
--- a/packages/batches/tests/newTexts.test.ts
+++ b/packages/batches/tests/newTexts.test.ts
@@ -89,6 +89,29 @@
   t.deepEqual(reader.unread, ['late', 'no-records', 'not-done']);
 });
 
+test('a text at a wrong place is not given for the one that was asked for', async (t) => {
+  // A place that is one too high shows another item's text; a trainer would train on it.
+  const { clock, writer, reader } = newHosts();
+  const by = clock.now() + 1_000;
+  const place = await writer.texts.write('b', 'text', by);
+  await writer.texts.write('b', 'another one', by);
+  t.deepEqual(await reader.texts.read([{ ...place!, offset: 1 }], by), []);
+  t.deepEqual(reader.unread, ['misplaced']);
+});
+
+test('texts that are here are given in time though the store does not answer for others', async (t) => {
+  // A call may hang for longer than its caller waits; what was there before it was held back as well.
+  const { clock, memory, writer } = newHosts();
+  const there = await writer.texts.write('b', 'there', clock.now() + 1_000);
+  const hanging = newSlowView(clock, memory.newView(), { latencyMs: 60_000, bytesAMs: 1 });
+  const texts = newTexts({ clock, log: silentLog, store: hanging, producer: 'host-3' });
+  await texts.write('b', 'own', clock.now() + 1_000);
+  const own = { ...there!, offset: 1, bytes: 3 };
+  const deadline = clock.now() + 400;
+  t.deepEqual(await drive(clock, texts.read([own, there], deadline)), ['own']);
+  t.true(clock.now() < deadline + 200);
+});
+
 test('a text whose place is not known does not count as written', async (t) => {
   // The answer to the append is lost, and its repetition too. A result that named a guessed place
   // would show another item's text.
