A result waits until its batch stands in the log

What callers would see: an item of a batch that was begun in an outage is done and never listed. Cause: an item that is given up at once (422) needs no text, so its result could be written before the batch's head, which waits for its requests; every host passes over a result of a batch it does not know, while its writer takes it for written.

--- a/packages/batches/tests/newBatchRunner.test.ts
+++ b/packages/batches/tests/newBatchRunner.test.ts
@@ -157,6 +157,23 @@
   await close();
 });
 
+test('a result is not written before the batch that it belongs to stands in the log', async (t) => {
+  // Begun while the store was away; hosts pass over a result of a batch that they do not know yet.
+  const { clock, batches, seen, close } = newHost();
+  const batch = newBatch('b', [newItem('1', { scoring })]);
+  batches.begin(batch);
+  await clock.advance(500);
+  t.deepEqual(seen.scored, ['s1']);
+  t.deepEqual(seen.results, []);
+  batches.apply(batch);
+  await clock.advance(500);
+  t.deepEqual(
+    batches.get('b')?.results.map(({ item }) => item),
+    ['1'],
+  );
+  await close();
+});
+
 test('a text restored after a restart is not scored before the end of its batch is read', async (t) => {
   // A host starts and reads the log from its beginning: a batch, and its text, and only seconds of
   // reading later the batch's end. Begun in between, scoring calls run for a batch that ended long
