The first page of a reading is 512 KB again: a store that is busy for all gives a small one no sooner

What callers saw: after an outage trainers got fewer results a call, while every host catches up and a call takes over 50 ms, so that pages did not grow. The weak host's tests hold: eight callers at once get their first results within a caller's patience.

--- a/packages/batches/src/newTextReader.ts
+++ b/packages/batches/src/newTextReader.ts
@@ -9,8 +9,8 @@
 import { keyOf, recordsOf } from './textRecords.js';
 import type { RecordPlace } from './textRecords.js';
 
-/** A weak host's link of 42 Mbit/s carries the first page in 13 ms. */
-const FIRST_READ_KB = 64;
+/** A weak host's link of 42 Mbit/s carries the first page in 0.1 s; a busy store gives a small one no sooner. */
+const FIRST_READ_KB = 512;
 const MOST_READ_KB = 1_024;
 /** A page that came within this may be followed by one of twice its size. */
 const QUICK_MS = 50;
