Take back the wait of a result for its batch; its test is known red

Cause: while results wait for this host to read the batch, others read it without any result, and the one whose turn it is begins.

--- a/packages/batches/src/newItemFinisher.ts
+++ b/packages/batches/src/newItemFinisher.ts
@@ -9,9 +9,6 @@
 /** A result is written until it stands or its batch is over; each try lasts so long. */
 const WRITE_TIMEOUT_MS = 10_000;
 
-/** How often it is looked whether a batch stands in the log that was begun without. */
-const KEPT_POLL_MS = 20;
-
 export interface ItemFinisherOptions {
   clock: Clock;
   log: EventLog;
@@ -26,13 +23,6 @@
 const newItemFinisher = (options: ItemFinisherOptions) => {
   const { clock, log, scorer, mayWork, write, writeText } = options;
 
-  /** Hosts pass over a result that stands in the log before its batch: it would never be listed. */
-  const untilKept = async ({ state, controller: { signal } }: ItemTask): Promise<void> => {
-    while (!state.isKept && !signal.aborted) {
-      await clock.sleepUntil(clock.now() + KEPT_POLL_MS, signal);
-    }
-  };
-
   const finish = async (
     task: ItemTask,
     result: Omit<ItemResult, 'type' | 'batch' | 'item'>,
@@ -41,8 +31,6 @@
     task.phase = 'writing';
     const record = { type: 'result' as const, batch: state.batch.id, item: item.id, ...result };
     let outcome: WriteOutcome = 'not-written';
-    await untilKept(task);
-    if (task.controller.signal.aborted) return;
     while (outcome !== 'written' && !task.controller.signal.aborted) {
       outcome = await write(record, clock.now() + WRITE_TIMEOUT_MS);
     }
