--- a/packages/batches/src/newResultPages.ts
+++ b/packages/batches/src/newResultPages.ts
@@ -42,6 +42,4 @@
   },
 });
 
-export type ResultPages = ReturnType<typeof newResultPages>;
-
 export default newResultPages;
--- a/packages/batches/src/newTextCache.ts
+++ b/packages/batches/src/newTextCache.ts
@@ -1,3 +1,5 @@
+import { keyOf } from './textRecords.js';
+
 /** A step's texts are some 200 KB, and its trainer asks for them within seconds. */
 const MOST_BYTES = 4_000_000;
 
@@ -6,8 +8,6 @@
   const records = new Map<string, Buffer>();
   let bytes = 0;
 
-  const keyOf = (topic: string, offset: number): string => `${topic}/${offset}`;
-
   const dropOldest = (): void => {
     const [oldest] = records.keys();
     if (oldest === undefined) return;
@@ -17,14 +17,15 @@
 
   return {
     put: (topic: string, offset: number, body: Buffer): void => {
-      const key = keyOf(topic, offset);
+      const key = keyOf({ topic, offset });
       if (records.has(key)) return;
       // A copy: the record is a slice of a page, which would stay in memory as a whole.
       records.set(key, Buffer.from(body));
       bytes += body.length;
       while (bytes > mostBytes) dropOldest();
     },
-    get: (topic: string, offset: number): Buffer | undefined => records.get(keyOf(topic, offset)),
+    get: (topic: string, offset: number): Buffer | undefined =>
+      records.get(keyOf({ topic, offset })),
   };
 };
 
