--- a/apps/host/tests/newHosts.ts
+++ b/apps/host/tests/newHosts.ts
@@ -1,6 +1,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
+import { createWriteStream } from 'node:fs';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -13,6 +14,8 @@
 
 const PROGRAM = fileURLToPath(new URL('../src/main.js', import.meta.url));
 const START_MS = 15_000;
+/** Names a folder in which the hosts' lines are kept. */
+const LOGS_VARIABLE = 'CYCLAMENGATE_TEST_LOGS';
 
 /** One host's process. */
 export interface TestHost {
@@ -81,6 +84,11 @@
   }
 };
 
+const keepLines = ({ stdout, pid }: ChildProcess, name: string): void => {
+  const folder = process.env[LOGS_VARIABLE];
+  if (folder) stdout?.pipe(createWriteStream(join(folder, `${name}-${pid}.jsonl`)));
+};
+
 /** Starts hosts as separate processes against a stand-in platform; ends only these. */
 export const newHosts = async (platform: Platform, domains: string[]) => {
   const folder = await mkdtemp(join(tmpdir(), 'cyclamengate-hosts-'));
@@ -114,6 +122,7 @@
     const child = spawn(process.execPath, [PROGRAM, '--settings', path], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
+    keepLines(child, name);
     const events: Record<string, unknown>[] = [];
     let rest = '';
     child.stdout?.on('data', (chunk: Buffer) => {
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -95,12 +95,15 @@
     } catch (error) {
       // A peer that never got the call can't be told from one whose answer was lost.
       const reason = error instanceof TRPCClientError ? error.message : String(error);
-      log.warn('peer.no-answer', { peer: peer.host, reason });
+      log.warn('peer.no-answer', { call: 'keep', peer: peer.host, reason });
       return 'unknown';
     }
   };
 
-  type PeerCall<Answer> = (client: PeerClient, signal: AbortSignal) => Promise<Answer>;
+  interface PeerCall<Answer> {
+    name: string;
+    run: (client: PeerClient, signal: AbortSignal) => Promise<Answer>;
+  }
 
   /** What a peer says, however it answered before; null where it says nothing. */
   const askAnyway = async <Answer>(
@@ -108,11 +111,14 @@
     withinMs: number,
     call: PeerCall<Answer>,
   ): Promise<Answer | null> => {
+    const startedAt = clock.now();
     try {
-      return await call(clientOf(peer), AbortSignal.timeout(withinMs));
+      return await call.run(clientOf(peer), AbortSignal.timeout(withinMs));
     } catch (error) {
       unreachableUntil.set(peer.host, clock.now() + UNREACHABLE_MS);
-      log.warn('peer.no-answer', { peer: peer.host, reason: (error as Error).message });
+      const tookMs = Math.round(clock.now() - startedAt);
+      const reason = (error as Error).message;
+      log.warn('peer.no-answer', { call: call.name, peer: peer.host, tookMs, reason });
       return null;
     }
   };
@@ -122,20 +128,29 @@
     peer: Peer,
     withinMs: number,
     call: PeerCall<Answer>,
-  ): Promise<Answer | null> =>
-    clock.now() < (unreachableUntil.get(peer.host) ?? -Infinity)
-      ? null
-      : askAnyway(peer, withinMs, call);
+  ): Promise<Answer | null> => {
+    const until = unreachableUntil.get(peer.host) ?? -Infinity;
+    if (clock.now() >= until) return askAnyway(peer, withinMs, call);
+    const forMs = Math.round(until - clock.now());
+    log.warn('peer.passed-over', { call: call.name, peer: peer.host, forMs });
+    return null;
+  };
 
   /** Whether a host has begun a batch; null where it does not say. */
   const hasBegunAt = async (peer: Peer | undefined, id: string): Promise<boolean | null> =>
     peer
-      ? ask(peer, FIND_MS, (client, signal) => client.hasBegun.query(id, { signal }))
+      ? ask(peer, FIND_MS, {
+          name: 'hasBegun',
+          run: (client, signal) => client.hasBegun.query(id, { signal }),
+        })
       : hasBegunHere(id);
 
   const beginAt = async (peer: Peer | undefined, batch: Batch): Promise<boolean | null> =>
     peer
-      ? ask(peer, BEGIN_MS, (client, signal) => client.begin.mutate(batch, { signal }))
+      ? ask(peer, BEGIN_MS, {
+          name: 'begin',
+          run: (client, signal) => client.begin.mutate(batch, { signal }),
+        })
       : beginHere(batch);
 
   const peersByName = (): Map<string, Peer> =>
@@ -176,9 +191,10 @@
     handOver: async (handover: Handover): Promise<string | null> => {
       const { batch, texts } = handover;
       for (const peer of successorsOf(batch).slice(0, MOST_SUCCESSORS)) {
-        const isTaken = await ask(peer, TAKE_OVER_MS, (client, signal) =>
-          client.takeOver.mutate(handover, { signal }),
-        );
+        const isTaken = await ask(peer, TAKE_OVER_MS, {
+          name: 'takeOver',
+          run: (client, signal) => client.takeOver.mutate(handover, { signal }),
+        });
         if (isTaken) {
           log.info('batch.handed-over', { batch: batch.id, to: peer.host, texts: texts.length });
           return peer.host;
@@ -190,9 +206,10 @@
     /** Has others write down that this host, which does not reach the store, takes no new work. */
     announce: async (heartbeat: Heartbeat): Promise<boolean> => {
       for (const peer of choosePeers(readPeers(), failureDomain, random)) {
-        const isWritten = await ask(peer, KEEP_MS + ANSWER_MS, (client, signal) =>
-          client.announce.mutate(heartbeat, { signal }),
-        );
+        const isWritten = await ask(peer, KEEP_MS + ANSWER_MS, {
+          name: 'announce',
+          run: (client, signal) => client.announce.mutate(heartbeat, { signal }),
+        });
         if (isWritten) return true;
       }
       return false;
@@ -206,7 +223,10 @@
       const chosen = choosePeers(readPeers(), failureDomain, random);
       const answers = await Promise.all(
         chosen.map((peer) =>
-          askAnyway(peer, FIND_MS, (client, signal) => client.touch.query(undefined, { signal })),
+          askAnyway(peer, FIND_MS, {
+            name: 'touch',
+            run: (client, signal) => client.touch.query(undefined, { signal }),
+          }),
         ),
       );
       if (answers.includes('steady')) return 'steady';
