A host that is late is not taken for one that has not begun, or not taken, a batch

What callers saw: a batch that came again in an outage was run by two hosts, sometimes three: its items twice over, before the same engines. Results were right.

Cause, from the lines of 18 failed copies of 'run by one host' (20 copies, 16 busy processes, 8 cores): a host whose answer did not come within 0.8 s counted as gone, and for three seconds more nobody asked it anything. 34 of 36 times the call that was late was not even about the batch, but a look at the store (touch), which takes 0.3 s by itself in an outage. "No answer" then stood for "has not begun": [null, false, false], and the next host in turn was told to begin. Ruled out: different views of who is there (members.changed shows three hosts on all before the batch came), the 200 ms of the old entry (askPeers only decides when the question is asked).

Change: a call ends as answer, late or gone. Gone is what accepts no connection, which the operating system does also for a busy process; only gone hosts are passed over, and remembered so. A late one is waited for, 2 s at most, and asked a second time after 0.8 s, since a connection may be silent while new ones work. The same for a batch that is handed over: a late host took it and the next one was handed it too. Calls are a module of their own (newPeerCalls).

--- /dev/null
+++ b/packages/batches/src/isListening.ts
@@ -0,0 +1,25 @@
+import { connect } from 'node:net';
+
+/** A machine that is there accepts at once; across failure domains and a busy link within this. */
+const CONNECT_MS = 500;
+
+/**
+ * Whether something accepts connections at an address. The operating system accepts them also for a
+ * process that is busy or suspended, so this tells a host that is late from one that is gone.
+ * @param address IP address and port
+ */
+const isListening = (address: string): Promise<boolean> =>
+  new Promise((resolve) => {
+    const [host, port] = address.split(':');
+    const socket = connect({ host, port: Number(port) });
+    const settle = (isThere: boolean): void => {
+      socket.destroy();
+      resolve(isThere);
+    };
+    socket.once('connect', () => settle(true));
+    socket.once('error', () => settle(false));
+    // A process that was held up itself meets its timer before the connection that stood in time.
+    setTimeout(() => setImmediate(() => settle(false)), CONNECT_MS).unref();
+  });
+
+export default isListening;
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -2,28 +2,28 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
-import { createTRPCClient, httpLink, TRPCClientError } from '@trpc/client';
 import type { Batch, BatchChange, Handover } from './batchRecord.js';
+import newPeerCalls from './newPeerCalls.js';
+import type { PeerAnswer } from './newPeerCalls.js';
 import { writeOutcomeSchema } from './peerRouter.js';
-import type { PeerRouter, Touch } from './peerRouter.js';
+import type { Touch } from './peerRouter.js';
 
 /** Asked at once: with a third of the hosts cut off from the store, one in 27 times all three are. */
 const MOST_ASKED = 3;
 /** A host that reaches the store writes within 10 ms; the call crosses failure domains twice. */
 const KEEP_MS = 500;
 const ANSWER_MS = 150;
-/** A host that lives answers within 10 ms, a busy one within some hundred; some are beyond a cut. */
-const FIND_MS = 800;
+/** A look at the store takes 300 ms where it is away. */
+const TOUCH_MS = 800;
 /** Hosts in turn that are asked whether they have begun a batch: a cut mostly takes a third. */
 const MOST_BEGINNERS = 6;
-/** A host that has just answered begins within this; later it may have begun all the same. */
-const BEGIN_MS = 1_000;
-/** A step's requests and texts are up to a megabyte, to be sent and read within a stop's seconds. */
-const TAKE_OVER_MS = 800;
 /** Hosts that are asked in turn to take a batch over; a third of them may be cut off as well. */
 const MOST_SUCCESSORS = 5;
-/** A host that did not answer is passed over for so long; cuts last some seconds. */
-const UNREACHABLE_MS = 3_000;
+/**
+ * A host that is there and says nothing may have done what it was asked, and is waited for; one that
+ * is suspended for longer is passed over, or a step of some seconds would be late.
+ */
+const PATIENCE_MS = 2_000;
 
 /** Another host, as its heartbeats tell of it. */
 export interface Peer {
@@ -64,6 +64,9 @@
     .slice(0, MOST_ASKED)
     .map(({ peer }) => peer);
 
+const isAnswer = <Value>(answer: PeerAnswer<Value> | undefined, value: Value): boolean =>
+  answer?.type === 'answer' && answer.value === value;
+
 /**
  * Other hosts, which may reach the store while this one does not.
  *
@@ -73,85 +76,33 @@
 const newPeers = (options: PeersOptions) => {
   const { clock, log, failureDomain, readPeers, self, rank, beginHere, hasBegunHere, random } =
     options;
-  const unreachableUntil = new Map<string, number>();
-
-  const newClient = (address: string) =>
-    createTRPCClient<PeerRouter>({ links: [httpLink({ url: `http://${address}/trpc` })] });
-
-  type PeerClient = ReturnType<typeof newClient>;
-  const clients = new Map<string, PeerClient>();
-
-  const clientOf = ({ address }: Peer): PeerClient => {
-    const client = clients.get(address) ?? newClient(address);
-    clients.set(address, client);
-    return client;
-  };
-
-  const askOne = async (peer: Peer, record: BatchChange): Promise<WriteOutcome> => {
-    const signal = AbortSignal.timeout(KEEP_MS + ANSWER_MS);
-    try {
-      const answer = await clientOf(peer).keep.mutate({ record, withinMs: KEEP_MS }, { signal });
-      return writeOutcomeSchema.parse(answer);
-    } catch (error) {
-      // A peer that never got the call can't be told from one whose answer was lost.
-      const reason = error instanceof TRPCClientError ? error.message : String(error);
-      log.warn('peer.no-answer', { call: 'keep', peer: peer.host, reason });
-      return 'unknown';
-    }
-  };
-
-  interface PeerCall<Answer> {
-    name: string;
-    run: (client: PeerClient, signal: AbortSignal) => Promise<Answer>;
-  }
-
-  /** What a peer says, however it answered before; null where it says nothing. */
-  const askAnyway = async <Answer>(
-    peer: Peer,
-    withinMs: number,
-    call: PeerCall<Answer>,
-  ): Promise<Answer | null> => {
-    const startedAt = clock.now();
-    try {
-      return await call.run(clientOf(peer), AbortSignal.timeout(withinMs));
-    } catch (error) {
-      unreachableUntil.set(peer.host, clock.now() + UNREACHABLE_MS);
-      const tookMs = Math.round(clock.now() - startedAt);
-      const reason = (error as Error).message;
-      log.warn('peer.no-answer', { call: call.name, peer: peer.host, tookMs, reason });
-      return null;
-    }
-  };
-
-  /** What a peer says that answered when it was asked last. */
-  const ask = async <Answer>(
-    peer: Peer,
-    withinMs: number,
-    call: PeerCall<Answer>,
-  ): Promise<Answer | null> => {
-    const until = unreachableUntil.get(peer.host) ?? -Infinity;
-    if (clock.now() >= until) return askAnyway(peer, withinMs, call);
-    const forMs = Math.round(until - clock.now());
-    log.warn('peer.passed-over', { call: call.name, peer: peer.host, forMs });
-    return null;
+  const { ask, askNow } = newPeerCalls(clock, log);
+
+  const askToKeep = async (peer: Peer, record: BatchChange): Promise<WriteOutcome> => {
+    const answer = await askNow(peer, KEEP_MS + ANSWER_MS, {
+      name: 'keep',
+      run: (client, signal) => client.keep.mutate({ record, withinMs: KEEP_MS }, { signal }),
+    });
+    // A peer that never got the call can't be told from one whose answer was lost.
+    return answer.type === 'answer' ? writeOutcomeSchema.parse(answer.value) : 'unknown';
   };
 
-  /** Whether a host has begun a batch; null where it does not say. */
-  const hasBegunAt = async (peer: Peer | undefined, id: string): Promise<boolean | null> =>
+  /** Whether a host has begun a batch. */
+  const hasBegunAt = async (peer: Peer | undefined, id: string): Promise<PeerAnswer<boolean>> =>
     peer
-      ? ask(peer, FIND_MS, {
+      ? ask(peer, PATIENCE_MS, {
           name: 'hasBegun',
           run: (client, signal) => client.hasBegun.query(id, { signal }),
         })
-      : hasBegunHere(id);
+      : { type: 'answer', value: hasBegunHere(id) };
 
-  const beginAt = async (peer: Peer | undefined, batch: Batch): Promise<boolean | null> =>
+  const beginAt = async (peer: Peer | undefined, batch: Batch): Promise<PeerAnswer<boolean>> =>
     peer
-      ? ask(peer, BEGIN_MS, {
+      ? ask(peer, PATIENCE_MS, {
           name: 'begin',
           run: (client, signal) => client.begin.mutate(batch, { signal }),
         })
-      : beginHere(batch);
+      : { type: 'answer', value: beginHere(batch) };
 
   const peersByName = (): Map<string, Peer> =>
     new Map(readPeers().map((peer) => [peer.host, peer]));
@@ -167,22 +118,25 @@
      * Has the first host in turn that can be reached begin a batch, unless one has begun it already.
      *
      * The batch comes again to other hosts, which may reach others of the first in turn. So all of
-     * them are asked before one is told to begin; and one that answers the order too late is not
-     * passed over, since it may have begun: the batch comes again, and it will say so then.
+     * them are asked before one is told to begin, and one that is late is waited for: taken for one
+     * that has not begun, it and the next host would both run the batch. One that answers the order
+     * too late is not passed over either: the batch comes again, and it will say so then.
      */
     begin: async (batch: Batch): Promise<void> => {
       const peers = peersByName();
       const names = rank(batch, [self, ...peers.values()]).slice(0, MOST_BEGINNERS);
       const answers = await Promise.all(names.map((name) => hasBegunAt(peers.get(name), batch.id)));
-      const [begunAt] = names.filter((_, index) => answers[index] === true);
-      const [first] = names.filter((_, index) => answers[index] === false);
+      const [begunAt] = names.filter((_, index) => isAnswer(answers[index], true));
+      const [first] = names.filter((_, index) => isAnswer(answers[index], false));
       const runner = begunAt ?? first;
       if (runner === undefined) {
         log.warn('batch.not-begun', { batch: batch.id, asked: names });
         return;
       }
-      const isBegun = begunAt !== undefined || (await beginAt(peers.get(runner), batch)) === true;
-      log.info('batch.begun-at', { batch: batch.id, runner, isBegun, answers });
+      const isBegun =
+        begunAt !== undefined || isAnswer(await beginAt(peers.get(runner), batch), true);
+      const said = answers.map((answer) => (answer.type === 'answer' ? answer.value : answer.type));
+      log.info('batch.begun-at', { batch: batch.id, runner, isBegun, asked: names, said });
     },
     /**
      * Has the next host in turn go on with a batch.
@@ -191,11 +145,11 @@
     handOver: async (handover: Handover): Promise<string | null> => {
       const { batch, texts } = handover;
       for (const peer of successorsOf(batch).slice(0, MOST_SUCCESSORS)) {
-        const isTaken = await ask(peer, TAKE_OVER_MS, {
+        const answer = await ask(peer, PATIENCE_MS, {
           name: 'takeOver',
           run: (client, signal) => client.takeOver.mutate(handover, { signal }),
         });
-        if (isTaken) {
+        if (isAnswer(answer, true)) {
           log.info('batch.handed-over', { batch: batch.id, to: peer.host, texts: texts.length });
           return peer.host;
         }
@@ -206,11 +160,11 @@
     /** Has others write down that this host, which does not reach the store, takes no new work. */
     announce: async (heartbeat: Heartbeat): Promise<boolean> => {
       for (const peer of choosePeers(readPeers(), failureDomain, random)) {
-        const isWritten = await ask(peer, KEEP_MS + ANSWER_MS, {
+        const answer = await ask(peer, KEEP_MS + ANSWER_MS, {
           name: 'announce',
           run: (client, signal) => client.announce.mutate(heartbeat, { signal }),
         });
-        if (isWritten) return true;
+        if (isAnswer(answer, true)) return true;
       }
       return false;
     },
@@ -223,20 +177,20 @@
       const chosen = choosePeers(readPeers(), failureDomain, random);
       const answers = await Promise.all(
         chosen.map((peer) =>
-          askAnyway(peer, FIND_MS, {
+          askNow(peer, TOUCH_MS, {
             name: 'touch',
             run: (client, signal) => client.touch.query(undefined, { signal }),
           }),
         ),
       );
-      if (answers.includes('steady')) return 'steady';
-      return answers.includes('new') ? 'new' : 'none';
+      if (answers.some((answer) => isAnswer(answer, 'steady'))) return 'steady';
+      return answers.some((answer) => isAnswer(answer, 'new')) ? 'new' : 'none';
     },
     /** Asks some peers to write a record; ends with the first that has. */
     keep: async (record: BatchChange): Promise<WriteOutcome> => {
       const chosen = choosePeers(readPeers(), failureDomain, random);
       const startedAt = clock.now();
-      const asked = chosen.map((peer) => askOne(peer, record));
+      const asked = chosen.map((peer) => askToKeep(peer, record));
       const written = asked.map(async (answer) =>
         (await answer) === 'written' ? ('written' as const) : Promise.reject(new Error('not yet')),
       );
