Hosts hear who was told to begin a batch, and leave it to that host

What callers saw: a batch that was begun in an outage was run by two hosts, also where everybody had answered in time. Cause: between the store's return and the beginner's record nobody remembered who had been told to begin.

Change: who tells a host to begin a batch tells the other hosts that may come to run it as well (noteBegun). A host that reads such a batch without its beginner's word leaves it to that one for 2 s, the time that a beginner's word already had; after that, or when the log names another, the log counts. A batch that comes again goes to the host that was told, unless that is gone. The choice is a function of its own (chooseBeginner).

--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -117,6 +117,8 @@
     rank: ({ id, model }, hosts) => rankHosts(`batches/${model ?? id}`, hosts),
     beginHere: peerService.begin,
     hasBegunHere: peerService.hasBegun,
+    noteBegunHere: peerService.noteBegun,
+    heardBeginner: batchStore.batches.heardBeginner,
   });
   const platform = followPlatform({
     clock,
--- a/apps/host/src/newPeerService.ts
+++ b/apps/host/src/newPeerService.ts
@@ -24,6 +24,7 @@
       return !isLeaving();
     },
     hasBegun: batchStore.batches.hasBegun,
+    noteBegun: ({ batch, host }) => batchStore.batches.noteBeginner(batch, host),
     takeOver: async (handover) => {
       const isBetter = !handover.isSenderCut || (await batchStore.touch()) === 'steady';
       const isTaken = isBetter && !isLeaving();
--- a/packages/batches/src/newAssignment.ts
+++ b/packages/batches/src/newAssignment.ts
@@ -2,7 +2,10 @@
 import type { BatchState } from './newBatches.js';
 import type { Takeovers } from './newTakeovers.js';
 
-/** After an outage of the store heartbeats are back within a second; until then nobody looks live. */
+/**
+ * After an outage of the store heartbeats are back within a second, and until then nobody looks live;
+ * so is the word of a host that began a batch, which it writes together with the batch.
+ */
 const BEGUN_GRACE_MS = 2_000;
 
 export interface AssignmentOptions {
@@ -27,19 +30,22 @@
  *
  * A batch that came while the store was away is run by the host that began it, and one that was
  * handed over by the host that took it, as long as that host lives: another one would make the same
- * texts a second time. All others go by their subject.
+ * texts a second time. The store may get it from a third host first, without a word of who runs it;
+ * whoever was told waits for that word. All others go by their subject.
  */
 const newAssignment =
   ({ clock, incarnation, isLeaving, freshAt, isLive, hasLeft, takeovers }: AssignmentOptions) =>
   (state: BatchState): boolean => {
-    const { isBegunHere, handedOverUntil, begunBy } = state;
+    const { isBegunHere, handedOverUntil, begunBy, heardBeginner } = state;
     if (isLeaving() || freshAt() < handedOverUntil) return false;
     if (isBegunHere || begunBy?.incarnation === incarnation) return true;
+    const isHeardOf =
+      begunBy === null && heardBeginner !== null && clock.now() < heardBeginner.at + BEGUN_GRACE_MS;
     const isBegunElsewhere =
       begunBy !== null &&
       !hasLeft(begunBy.host, begunBy.incarnation) &&
       (clock.now() < begunBy.readAt + BEGUN_GRACE_MS || isLive(begunBy.incarnation));
-    return !isBegunElsewhere && takeovers.mayBegin(subjectOf(state));
+    return !isHeardOf && !isBegunElsewhere && takeovers.mayBegin(subjectOf(state));
   };
 
 export default newAssignment;
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -43,6 +43,8 @@
   handedOverUntil: number;
   /** Who else, by the log; `readAt` is on the monotonic clock. */
   begunBy: { host: string; incarnation: string; readAt: number } | null;
+  /** Who was said to have begun it, and when that was known beside the batch; the log may not say so yet. */
+  heardBeginner: { host: string; at: number } | null;
   /** When this host forgets it, on the monotonic clock. */
   keepUntil: number;
 }
@@ -75,12 +77,14 @@
 const newBatches = ({ clock, lifeMs, parts }: BatchesOptions) => {
   const states = new Map<string, BatchState>();
   const completed = new Map<string, { digest: string; result: ItemResult }>();
+  const heard = new Map<string, { host: string; at: number }>();
   let onAccepted = (_batch: BatchState['batch']): void => {};
   const listeners = new Set<(state: BatchState) => void>();
 
   const add = (batch: Batch | BatchHead, isKept: boolean): BatchState => {
     const age = Math.max(0, clock.wallTime() - batch.acceptedAt);
     const isWhole = batch.type === 'batch';
+    const beginner = heard.get(batch.id);
     const state: BatchState = {
       batch,
       items: mapById(isWhole ? batch.items.map(newItemHead) : batch.items),
@@ -93,6 +97,7 @@
       isBegunHere: !isKept,
       handedOverUntil: -Infinity,
       begunBy: null,
+      heardBeginner: beginner ? { host: beginner.host, at: clock.now() } : null,
       keepUntil: clock.now() + Math.max(0, lifeMs - Math.min(age, lifeMs)) + lifeMs / 2,
     };
     states.set(batch.id, state);
@@ -156,7 +161,10 @@
     }
   };
 
-  const forgetOld = (): void =>
+  const forgetOld = (): void => {
+    heard.forEach(({ at }, id) => {
+      if (at + lifeMs < clock.now()) heard.delete(id);
+    });
     states.forEach(({ keepUntil }, id) => {
       if (keepUntil >= clock.now()) return;
       states.get(id)?.results.forEach(({ item, batch }) => {
@@ -164,6 +172,7 @@
       });
       states.delete(id);
     });
+  };
 
   return {
     apply: (record: BatchRecord | BatchChange): void => {
@@ -188,6 +197,15 @@
     },
     /** Whether this host has begun a batch, or was handed it. */
     hasBegun: (id: string): boolean => states.get(id)?.isBegunHere ?? false,
+    /** Hears that another host has begun a batch. */
+    noteBeginner: (id: string, host: string): void => {
+      const beginner = { host, at: clock.now() };
+      heard.set(id, beginner);
+      const state = states.get(id);
+      if (state) state.heardBeginner = beginner;
+    },
+    /** The host that was said to have begun a batch; null where none was. */
+    heardBeginner: (id: string): string | null => heard.get(id)?.host ?? null,
     /** Takes over a batch that is known here; @returns false where it is not, or has ended. */
     adopt: (batch: Batch): boolean => {
       const state = states.get(batch.id);
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -3,10 +3,11 @@
 import type { Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { Batch, BatchChange, Handover } from './batchRecord.js';
+import chooseBeginner from './chooseBeginner.js';
 import newPeerCalls from './newPeerCalls.js';
 import type { PeerAnswer } from './newPeerCalls.js';
 import { writeOutcomeSchema } from './peerRouter.js';
-import type { Touch } from './peerRouter.js';
+import type { Beginner, Touch } from './peerRouter.js';
 
 /** Asked at once: with a third of the hosts cut off from the store, one in 27 times all three are. */
 const MOST_ASKED = 3;
@@ -49,6 +50,10 @@
   beginHere: (batch: Batch) => boolean;
   /** Whether this host has begun a batch. */
   hasBegunHere: (batch: string) => boolean;
+  /** Notes here that another host has begun a batch. */
+  noteBegunHere: (begun: Beginner) => void;
+  /** The host that was said to have begun a batch. */
+  heardBeginner: (batch: string) => string | null;
   random?: () => number;
 }
 
@@ -67,6 +72,9 @@
 const isAnswer = <Value>(answer: PeerAnswer<Value> | undefined, value: Value): boolean =>
   answer?.type === 'answer' && answer.value === value;
 
+const wordOf = <Value>(answer: PeerAnswer<Value>): Value | string =>
+  answer.type === 'answer' ? answer.value : answer.type;
+
 /**
  * Other hosts, which may reach the store while this one does not.
  *
@@ -74,8 +82,8 @@
  * to such a host would be refused though the system could serve it.
  */
 const newPeers = (options: PeersOptions) => {
-  const { clock, log, failureDomain, readPeers, self, rank, beginHere, hasBegunHere, random } =
-    options;
+  const { clock, log, failureDomain, readPeers, self, rank, random } = options;
+  const { beginHere, hasBegunHere, noteBegunHere, heardBeginner } = options;
   const { ask, askNow } = newPeerCalls(clock, log);
 
   const askToKeep = async (peer: Peer, record: BatchChange): Promise<WriteOutcome> => {
@@ -104,6 +112,20 @@
         })
       : { type: 'answer', value: beginHere(batch) };
 
+  /** Has the other hosts that may come to run a batch know who has been told to. */
+  const tellBegun = (begun: Beginner, names: string[], peers: Map<string, Peer>): void => {
+    if (begun.host !== self.host) noteBegunHere(begun);
+    names
+      .filter((name) => name !== begun.host)
+      .flatMap((name) => peers.get(name) ?? [])
+      .forEach((peer) =>
+        ask(peer, PATIENCE_MS, {
+          name: 'noteBegun',
+          run: (client, signal) => client.noteBegun.mutate(begun, { signal }),
+        }),
+      );
+  };
+
   const peersByName = (): Map<string, Peer> =>
     new Map(readPeers().map((peer) => [peer.host, peer]));
 
@@ -125,18 +147,29 @@
     begin: async (batch: Batch): Promise<void> => {
       const peers = peersByName();
       const names = rank(batch, [self, ...peers.values()]).slice(0, MOST_BEGINNERS);
-      const answers = await Promise.all(names.map((name) => hasBegunAt(peers.get(name), batch.id)));
-      const [begunAt] = names.filter((_, index) => isAnswer(answers[index], true));
-      const [first] = names.filter((_, index) => isAnswer(answers[index], false));
-      const runner = begunAt ?? first;
-      if (runner === undefined) {
+      const asked = await Promise.all(
+        names.map(async (host) => ({ host, answer: await hasBegunAt(peers.get(host), batch.id) })),
+      );
+      const heard = heardBeginner(batch.id);
+      const choice = chooseBeginner(asked, heard);
+      if (!choice) {
         log.warn('batch.not-begun', { batch: batch.id, asked: names });
         return;
       }
-      const isBegun =
-        begunAt !== undefined || isAnswer(await beginAt(peers.get(runner), batch), true);
-      const said = answers.map((answer) => (answer.type === 'answer' ? answer.value : answer.type));
-      log.info('batch.begun-at', { batch: batch.id, runner, isBegun, asked: names, said });
+      const { host, hasBegun } = choice;
+      const order = hasBegun ? null : await beginAt(peers.get(host), batch);
+      const isRefused = order !== null && isAnswer(order, false);
+      if (!isRefused && heard !== host) tellBegun({ batch: batch.id, host }, names, peers);
+      const said = asked.map(({ answer }) => wordOf(answer));
+      const ordered = order && wordOf(order);
+      log.info('batch.begun-at', {
+        batch: batch.id,
+        runner: host,
+        ordered,
+        asked: names,
+        said,
+        heard,
+      });
     },
     /**
      * Has the next host in turn go on with a batch.
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -20,6 +20,11 @@
   withinMs: z.number().min(0).max(LONGEST_MS),
 });
 
+const beginnerSchema = z.object({ batch: z.string(), host: z.string() });
+
+/** Which host was told to begin a batch before the store had it. */
+export type Beginner = z.infer<typeof beginnerSchema>;
+
 /** What a host does for its peers. */
 export interface PeerService {
   /** Writes a record of batches to the store. */
@@ -28,6 +33,8 @@
   begin: (batch: Batch) => boolean;
   /** Whether this host has begun a batch. */
   hasBegun: (batch: string) => boolean;
+  /** Hears that another host has begun a batch. */
+  noteBegun: (begun: Beginner) => void;
   /** Goes on with a batch of another host; @returns false where it takes no new work. */
   takeOver: (handover: Handover) => Promise<boolean>;
   /** Writes down for a host that can't do so that it takes no new work; @returns whether it stands. */
@@ -39,14 +46,17 @@
 const t = initTRPC.create();
 
 /** The procedures through which hosts talk to one another. */
-export const newPeerRouter = ({ keep, begin, hasBegun, takeOver, announce, touch }: PeerService) =>
+export const newPeerRouter = (service: PeerService) =>
   t.router({
-    keep: t.procedure.input(keepSchema).mutation(({ input }) => keep(input.record, input.withinMs)),
-    begin: t.procedure.input(batchSchema).mutation(({ input }) => begin(input)),
-    hasBegun: t.procedure.input(z.string()).query(({ input }) => hasBegun(input)),
-    takeOver: t.procedure.input(handoverSchema).mutation(({ input }) => takeOver(input)),
-    announce: t.procedure.input(heartbeatSchema).mutation(({ input }) => announce(input)),
-    touch: t.procedure.query(() => touch()),
+    keep: t.procedure
+      .input(keepSchema)
+      .mutation(({ input }) => service.keep(input.record, input.withinMs)),
+    begin: t.procedure.input(batchSchema).mutation(({ input }) => service.begin(input)),
+    hasBegun: t.procedure.input(z.string()).query(({ input }) => service.hasBegun(input)),
+    noteBegun: t.procedure.input(beginnerSchema).mutation(({ input }) => service.noteBegun(input)),
+    takeOver: t.procedure.input(handoverSchema).mutation(({ input }) => service.takeOver(input)),
+    announce: t.procedure.input(heartbeatSchema).mutation(({ input }) => service.announce(input)),
+    touch: t.procedure.query(() => service.touch()),
   });
 
 export type PeerRouter = ReturnType<typeof newPeerRouter>;
--- a/packages/batches/tests/newAssignment.test.ts
+++ b/packages/batches/tests/newAssignment.test.ts
@@ -75,6 +75,31 @@
   t.deepEqual(owner.isMine(), [true]);
 });
 
+test('a batch that another host was told to begin is left to it until its own word is due', async (t) => {
+  // Guards against a batch that two hosts run: the store has it first from a host that it came to
+  // again, and the word of the host that began it stands some milliseconds later.
+  const owner = newHost('owner', true);
+  await new Promise(setImmediate);
+  owner.batches.noteBeginner('b', 'beginner');
+  await owner.clock.advance(5_000);
+  owner.batches.apply(batch);
+  t.deepEqual(owner.isMine(), [false]);
+  owner.batches.apply(begun);
+  t.deepEqual(owner.isMine(), [false]);
+  owner.left.add('beginner');
+  t.deepEqual(owner.isMine(), [true], 'what the log says counts from then on');
+});
+
+test('a batch whose beginner never says so goes to its usual owner', async (t) => {
+  // Guards against a step that nobody runs: the host that was told to begin it has died.
+  const owner = newHost('owner', true);
+  await new Promise(setImmediate);
+  owner.batches.noteBeginner('b', 'beginner');
+  owner.batches.apply(batch);
+  await owner.clock.advance(2_500);
+  t.deepEqual(owner.isMine(), [true]);
+});
+
 test('a batch that was begun and withdrawn leaves nothing behind', (t) => {
   const { batches } = newHost('beginner', false);
   batches.begin(batch);
--- a/packages/batches/tests/newPeers.test.ts
+++ b/packages/batches/tests/newPeers.test.ts
@@ -50,6 +50,18 @@
   [first, second].forEach(({ server }) => server.close());
 });
 
+test('hosts that may come to run a batch hear who has begun it', async (t) => {
+  // Guards against a batch that two hosts run: the store has it from a third one first, without a
+  // word of who runs it.
+  const first = await newPeer('c', true);
+  const second = await newPeer('b', true);
+  await newCaller([first.peer, second.peer]).begin(handover.batch);
+  while (second.heard.length === 0) await new Promise(setImmediate);
+  t.deepEqual(second.heard, ['b at c']);
+  t.deepEqual(first.heard, []);
+  [first, second].forEach(({ server }) => server.close());
+});
+
 test('others write down that a host that is cut off takes no new work', async (t) => {
   // The store turns one host away. New steps of its models would wait for the life of a heartbeat.
   const other = await newPeer('c', true);
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -14,6 +14,7 @@
   const taken: Handover[] = [];
   const begun = new Set<string>();
   const announced: string[] = [];
+  const heard: string[] = [];
   const server = newPeerServer({
     keep: async () => 'written',
     begin: ({ id }) => {
@@ -21,6 +22,9 @@
       return isWilling;
     },
     hasBegun: (id) => begun.has(id),
+    noteBegun: ({ batch, host: beginner }) => {
+      heard.push(`${batch} at ${beginner}`);
+    },
     announce: async ({ host: leaving }) => {
       announced.push(leaving);
       return isWilling;
@@ -38,10 +42,10 @@
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
   const peer = { host, failureDomain: 'detroit', address: `127.0.0.1:${port}`, cores: 1 };
-  return { peer, taken, begun, announced, server };
+  return { peer, taken, begun, announced, heard, server };
 };
 
-export const newCaller = (peers: Peer[]) =>
+export const newCaller = (peers: Peer[], heard: string | null = null) =>
   newPeers({
     clock,
     log: silentLog,
@@ -56,6 +60,8 @@
         .reverse(),
     beginHere: () => false,
     hasBegunHere: () => false,
+    noteBegunHere: () => {},
+    heardBeginner: () => heard,
   });
 
 export const handover: Handover = {
