A result waits until the store has answered that its batch stands

What callers would see: an item of a batch that was begun in an outage is done and never listed. Its result could be written before the batch's head, which waits for its requests; every host passes over a result of a batch that it does not know, while its writer takes it for written.

The first fix waited until this host had read its batch back. The wait is no poll: the item rests as `unwritten` and the runner goes on with it when the batch changes.

--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -127,7 +127,8 @@
   const bringBegun = async (batch: Batch, from: string | null): Promise<void> => {
     const outcome = await writeBatch(batch, begunBy(batch, from), clock.now() + BEGUN_MS);
     log.info('batch.begun-kept', { batch: batch.id, outcome });
-    if (outcome !== 'written') batches.withdraw(batch.id);
+    if (outcome === 'written') batches.noteStored(batch.id);
+    else batches.withdraw(batch.id);
   };
 
   /** Tells all hosts who runs a batch that the store has. */
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -85,7 +85,14 @@
   const tasks = newTaskList({ clock, log, findText: batches.findText });
   const savePart = newPartSaver({ clock, writer: options.incarnation, write: options.writePart });
   const { writeText, readParts, requests } = options;
-  const { abandon, score } = newItemFinisher({ clock, log, scorer, mayWork, write, writeText });
+  const { abandon, score, resume } = newItemFinisher({
+    clock,
+    log,
+    scorer,
+    mayWork,
+    write,
+    writeText,
+  });
   const takeovers = newTakeovers({ clock, isOwner, readParts });
   const isMine = newAssignment({ ...options, takeovers });
   const refusals = newRefusals(clock);
@@ -248,11 +255,12 @@
     });
   };
 
-  const scoreWaiting = (): void =>
-    tasks
-      .all()
-      .filter(({ phase }) => phase === 'unscored')
-      .forEach(score);
+  /** Goes on with items whose text is whole, as far as the view and the log allow it now. */
+  const finishWaiting = (): void =>
+    tasks.all().forEach((task) => {
+      if (task.phase === 'unscored') score(task);
+      if (task.phase === 'unwritten') resume(task);
+    });
 
   /**
    * Begins what may begin, on a fresh view only. A host that has just started reads the log from its
@@ -260,7 +268,7 @@
    * texts be scored, after their end.
    */
   const beginWork = (): void => {
-    scoreWaiting();
+    finishWaiting();
     startWaiting(tasks.waiting().filter(({ state }) => mayWork(state)));
   };
 
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -33,6 +33,8 @@
   isEnded: boolean;
   /** Whether the store has it; one that this host began without that is nobody else's business. */
   isKept: boolean;
+  /** Whether its head stands in the log: what is written now comes after it. */
+  isStored: boolean;
   /** This host began it before the store had it, or was handed it by another. */
   isBegunHere: boolean;
   /**
@@ -94,6 +96,7 @@
       finished: new Set(),
       isEnded: false,
       isKept,
+      isStored: isKept,
       isBegunHere: !isKept,
       handedOverUntil: -Infinity,
       begunBy: null,
@@ -109,6 +112,7 @@
     if (!known) return add(batch, true);
     if (known.isKept) return null;
     known.isKept = true;
+    known.isStored = true;
     known.batch = batch;
     known.requestsAt = batch.type === 'batch-head' ? batch.requests : null;
     return known;
@@ -197,6 +201,13 @@
     },
     /** Whether this host has begun a batch, or was handed it. */
     hasBegun: (id: string): boolean => states.get(id)?.isBegunHere ?? false,
+    /** The store has answered that a batch stands, which this host is still to read. */
+    noteStored: (id: string): void => {
+      const state = states.get(id);
+      if (!state || state.isStored) return;
+      state.isStored = true;
+      [...listeners].forEach((listener) => listener(state));
+    },
     /** Hears that another host has begun a batch. */
     noteBeginner: (id: string, host: string): void => {
       const beginner = { host, at: clock.now() };
--- a/packages/batches/src/newItemFinisher.ts
+++ b/packages/batches/src/newItemFinisher.ts
@@ -4,7 +4,7 @@
 import type { ItemResult, TextPlace } from './batchRecord.js';
 import type { ItemScorer } from './newItemScorer.js';
 import type { BatchState } from './newBatches.js';
-import type { ItemTask } from './newTaskList.js';
+import type { ItemEnding, ItemTask } from './newTaskList.js';
 
 /** A result is written until it stands or its batch is over; each try lasts so long. */
 const WRITE_TIMEOUT_MS = 10_000;
@@ -23,13 +23,10 @@
 const newItemFinisher = (options: ItemFinisherOptions) => {
   const { clock, log, scorer, mayWork, write, writeText } = options;
 
-  const finish = async (
-    task: ItemTask,
-    result: Omit<ItemResult, 'type' | 'batch' | 'item'>,
-  ): Promise<void> => {
+  const writeEnding = async (task: ItemTask, ending: ItemEnding): Promise<void> => {
     const { state, item } = task;
     task.phase = 'writing';
-    const record = { type: 'result' as const, batch: state.batch.id, item: item.id, ...result };
+    const record = { type: 'result' as const, batch: state.batch.id, item: item.id, ...ending };
     let outcome: WriteOutcome = 'not-written';
     while (outcome !== 'written' && !task.controller.signal.aborted) {
       outcome = await write(record, clock.now() + WRITE_TIMEOUT_MS);
@@ -37,8 +34,8 @@
     log.info('item.finished', {
       batch: state.batch.id,
       requestId: item.id,
-      state: result.state,
-      versions: result.versions,
+      state: ending.state,
+      versions: ending.versions,
       events: task.progress.events.length,
       runs: task.runs,
       tookMs: Math.round(clock.now() - task.createdAt),
@@ -46,6 +43,16 @@
     });
   };
 
+  /**
+   * Writes an item's result once its batch stands in the log: hosts pass over a result of a batch that
+   * they do not know, while its writer takes it for written, and the item would never be listed.
+   */
+  const finish = async (task: ItemTask, ending: ItemEnding): Promise<void> => {
+    task.ending = ending;
+    task.phase = 'unwritten';
+    if (task.state.isStored) await writeEnding(task, ending);
+  };
+
   const abandon = (task: ItemTask, reason: string): Promise<void> => {
     log.warn('item.abandoned', { requestId: task.item.id, batch: task.state.batch.id, reason });
     return finish(task, { state: 'abandoned', text: null, versions: [], score: null });
@@ -85,7 +92,12 @@
     });
   };
 
-  return { abandon, score };
+  /** Goes on with an item whose result waited for its batch. */
+  const resume = async (task: ItemTask): Promise<void> => {
+    if (task.ending && task.state.isStored) await writeEnding(task, task.ending);
+  };
+
+  return { abandon, score, resume };
 };
 
 export type ItemFinisher = ReturnType<typeof newItemFinisher>;
--- a/packages/batches/src/newTaskList.ts
+++ b/packages/batches/src/newTaskList.ts
@@ -1,6 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
-import type { Item, ItemHead, TextPlace } from './batchRecord.js';
+import type { Item, ItemHead, ItemResult, TextPlace } from './batchRecord.js';
 import type { BatchState, EarlierText } from './newBatches.js';
 import type { WaitingItem } from './planStarts.js';
 import { isFreshEnough, newProgress } from './progress.js';
@@ -14,6 +14,9 @@
 /** Texts that are kept when their batch ends before they do; about 10 KB each. */
 const MOST_PARTS = 400;
 
+/** An item's result, but for whose it is. */
+export type ItemEnding = Omit<ItemResult, 'type' | 'batch' | 'item'>;
+
 /** One item of one batch, on the host that runs it. */
 export interface ItemTask {
   key: string;
@@ -21,8 +24,11 @@
   item: Item;
   /** Of its request. */
   digest: string;
-  /** `unscored`: its text is whole, here or from the log, and its score is still to be asked for. */
-  phase: 'unscored' | 'waiting' | 'running' | 'scoring' | 'writing';
+  /**
+   * `unscored`: its text is whole, here or from the log, and its score is still to be asked for;
+   * `unwritten`: its result waits until its batch stands in the log.
+   */
+  phase: 'unscored' | 'waiting' | 'running' | 'scoring' | 'unwritten' | 'writing';
   progress: Progress;
   createdAt: number;
   /** Events that stand in the log. */
@@ -32,6 +38,8 @@
   isWholeSaved: boolean;
   /** Where the store has the whole text. */
   place: TextPlace | null;
+  /** What became of it; null while it is not known. */
+  ending: ItemEnding | null;
   /** When the text was whole. */
   textAt: number | null;
   notBefore: number;
@@ -102,6 +110,7 @@
       isSaving: false,
       isWholeSaved: false,
       place: text?.place ?? null,
+      ending: null,
       textAt: null,
       notBefore: -Infinity,
       failures: 0,
