A host asks the one that it heard has begun a batch, also where it has read no heartbeat of it

What callers saw: a batch that was begun in an outage was run by two hosts, without any load. Cause: what a host knows of the others from the log differs between hosts for as long as a reading takes, and an outage makes that difference last. The word that another has begun was passed over, since its host was not among those known.

Change: the word brings the address of the host, which is asked beside the others. Not covered: two hosts that both came within one reading of the outage, know nothing of each other and were told nothing.

Result: the new test failed before (the second host began).

--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -113,7 +113,7 @@
     log,
     failureDomain,
     readPeers: () => coordination.members.lately().filter((member) => member.host !== host),
-    self: { host, cores },
+    self: { host, cores, address: settings.listen.peers },
     rank: ({ id, model }, hosts) => rankHosts(`batches/${model ?? id}`, hosts),
     beginHere: peerService.begin,
     hasBegunHere: peerService.hasBegun,
--- a/apps/host/src/newPeerService.ts
+++ b/apps/host/src/newPeerService.ts
@@ -24,7 +24,7 @@
       return !isLeaving();
     },
     hasBegun: batchStore.batches.hasBegun,
-    noteBegun: ({ batch, host }) => batchStore.batches.noteBeginner(batch, host),
+    noteBegun: batchStore.batches.noteBeginner,
     takeOver: async (handover) => {
       const isBetter = !handover.isSenderCut || (await batchStore.touch()) === 'steady';
       const isTaken = isBetter && !isLeaving();
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -14,6 +14,7 @@
 import mapById from './mapById.js';
 import { newItemHead } from './newBatchHead.js';
 import type { PartTexts } from './newPartTexts.js';
+import type { Beginner } from './peerRouter.js';
 import type { Progress } from './progress.js';
 
 /** A host that takes a batch over writes that down at once, or dies. */
@@ -79,7 +80,7 @@
 const newBatches = ({ clock, lifeMs, parts }: BatchesOptions) => {
   const states = new Map<string, BatchState>();
   const completed = new Map<string, { digest: string; result: ItemResult }>();
-  const heard = new Map<string, { host: string; at: number }>();
+  const heard = new Map<string, Beginner & { at: number }>();
   let onAccepted = (_batch: BatchState['batch']): void => {};
   const listeners = new Set<(state: BatchState) => void>();
 
@@ -209,14 +210,15 @@
       [...listeners].forEach((listener) => listener(state));
     },
     /** Hears that another host has begun a batch. */
-    noteBeginner: (id: string, host: string): void => {
-      const beginner = { host, at: clock.now() };
-      heard.set(id, beginner);
-      const state = states.get(id);
-      if (state) state.heardBeginner = beginner;
+    noteBeginner: (beginner: Beginner): void => {
+      const { batch, host } = beginner;
+      const at = clock.now();
+      heard.set(batch, { ...beginner, at });
+      const state = states.get(batch);
+      if (state) state.heardBeginner = { host, at };
     },
     /** The host that was said to have begun a batch; null where none was. */
-    heardBeginner: (id: string): string | null => heard.get(id)?.host ?? null,
+    heardBeginner: (id: string): Beginner | null => heard.get(id) ?? null,
     /** Takes over a batch that is known here; @returns false where it is not, or has ended. */
     adopt: (batch: Batch): boolean => {
       const state = states.get(batch.id);
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -5,7 +5,7 @@
 import type { Batch, BatchChange, Handover } from './batchRecord.js';
 import chooseBeginner from './chooseBeginner.js';
 import newPeerCalls from './newPeerCalls.js';
-import type { PeerAnswer } from './newPeerCalls.js';
+import type { PeerAddress, PeerAnswer } from './newPeerCalls.js';
 import { writeOutcomeSchema } from './peerRouter.js';
 import type { Beginner, Touch } from './peerRouter.js';
 
@@ -43,7 +43,7 @@
   /** Hosts that were live when this one last heard of them, without itself. */
   readPeers: () => Peer[];
   /** This host. */
-  self: Pick<Peer, 'host' | 'cores'>;
+  self: Pick<Peer, 'host' | 'cores' | 'address'>;
   /** Names of hosts in the order in which they come for a batch; the same on every host. */
   rank: (batch: Pick<Batch, 'id' | 'model'>, hosts: Pick<Peer, 'host' | 'cores'>[]) => string[];
   /** Begins a batch on this host. */
@@ -53,7 +53,7 @@
   /** Notes here that another host has begun a batch. */
   noteBegunHere: (begun: Beginner) => void;
   /** The host that was said to have begun a batch. */
-  heardBeginner: (batch: string) => string | null;
+  heardBeginner: (batch: string) => Beginner | null;
   random?: () => number;
 }
 
@@ -96,7 +96,10 @@
   };
 
   /** Whether a host has begun a batch. */
-  const hasBegunAt = async (peer: Peer | undefined, id: string): Promise<PeerAnswer<boolean>> =>
+  const hasBegunAt = async (
+    peer: PeerAddress | undefined,
+    id: string,
+  ): Promise<PeerAnswer<boolean>> =>
     peer
       ? ask(peer, PATIENCE_MS, {
           name: 'hasBegun',
@@ -104,7 +107,10 @@
         })
       : { type: 'answer', value: hasBegunHere(id) };
 
-  const beginAt = async (peer: Peer | undefined, batch: Batch): Promise<PeerAnswer<boolean>> =>
+  const beginAt = async (
+    peer: PeerAddress | undefined,
+    batch: Batch,
+  ): Promise<PeerAnswer<boolean>> =>
     peer
       ? ask(peer, PATIENCE_MS, {
           name: 'begin',
@@ -113,7 +119,7 @@
       : { type: 'answer', value: beginHere(batch) };
 
   /** Has the other hosts that may come to run a batch know who has been told to. */
-  const tellBegun = (begun: Beginner, names: string[], peers: Map<string, Peer>): void => {
+  const tellBegun = (begun: Beginner, names: string[], peers: Map<string, PeerAddress>): void => {
     if (begun.host !== self.host) noteBegunHere(begun);
     names
       .filter((name) => name !== begun.host)
@@ -145,13 +151,17 @@
      * too late is not passed over either: the batch comes again, and it will say so then.
      */
     begin: async (batch: Batch): Promise<void> => {
-      const peers = peersByName();
-      const names = rank(batch, [self, ...peers.values()]).slice(0, MOST_BEGINNERS);
+      const peers: Map<string, PeerAddress> = peersByName();
+      const ranked = rank(batch, [self, ...peersByName().values()]).slice(0, MOST_BEGINNERS);
+      const heard = heardBeginner(batch.id);
+      // This host may not have heard of it otherwise: it came just before the store went away.
+      const isUnknown = heard !== null && heard.host !== self.host && !peers.has(heard.host);
+      if (isUnknown) peers.set(heard.host, heard);
+      const names = isUnknown ? [...ranked, heard.host] : ranked;
       const asked = await Promise.all(
         names.map(async (host) => ({ host, answer: await hasBegunAt(peers.get(host), batch.id) })),
       );
-      const heard = heardBeginner(batch.id);
-      const choice = chooseBeginner(asked, heard);
+      const choice = chooseBeginner(asked, heard?.host ?? null);
       if (!choice) {
         log.warn('batch.not-begun', { batch: batch.id, asked: names });
         return;
@@ -159,7 +169,9 @@
       const { host, hasBegun } = choice;
       const order = hasBegun ? null : await beginAt(peers.get(host), batch);
       const isRefused = order !== null && isAnswer(order, false);
-      if (!isRefused && heard !== host) tellBegun({ batch: batch.id, host }, names, peers);
+      const { address } = peers.get(host) ?? self;
+      const isNews = !isRefused && heard?.host !== host;
+      if (isNews) tellBegun({ batch: batch.id, host, address }, names, peers);
       const said = asked.map(({ answer }) => wordOf(answer));
       const ordered = order && wordOf(order);
       log.info('batch.begun-at', {
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -20,7 +20,12 @@
   withinMs: z.number().min(0).max(LONGEST_MS),
 });
 
-const beginnerSchema = z.object({ batch: z.string(), host: z.string() });
+const beginnerSchema = z.object({
+  batch: z.string(),
+  host: z.string(),
+  /** IP address and port for other hosts. */
+  address: z.string(),
+});
 
 /** Which host was told to begin a batch before the store had it. */
 export type Beginner = z.infer<typeof beginnerSchema>;
--- a/packages/batches/tests/newAssignment.test.ts
+++ b/packages/batches/tests/newAssignment.test.ts
@@ -35,6 +35,8 @@
   from: null,
 };
 
+const said = { batch: 'b', host: 'beginner', address: '127.0.0.1:1' };
+
 test('a batch that was begun before it was kept stays with its host, and with no other', async (t) => {
   // The store comes back with a batch that one host has half done. Were its usual owner to run it
   // too, each text would be made twice while all wait for engines.
@@ -80,7 +82,7 @@
   // again, and the word of the host that began it stands some milliseconds later.
   const owner = newHost('owner', true);
   await new Promise(setImmediate);
-  owner.batches.noteBeginner('b', 'beginner');
+  owner.batches.noteBeginner(said);
   await owner.clock.advance(5_000);
   owner.batches.apply(batch);
   t.deepEqual(owner.isMine(), [false]);
@@ -94,7 +96,7 @@
   // Guards against a step that nobody runs: the host that was told to begin it has died.
   const owner = newHost('owner', true);
   await new Promise(setImmediate);
-  owner.batches.noteBeginner('b', 'beginner');
+  owner.batches.noteBeginner(said);
   owner.batches.apply(batch);
   await owner.clock.advance(2_500);
   t.deepEqual(owner.isMine(), [true]);
--- a/packages/batches/tests/newPeers.test.ts
+++ b/packages/batches/tests/newPeers.test.ts
@@ -62,6 +62,18 @@
   [first, second].forEach(({ server }) => server.close());
 });
 
+test('a batch stays with the host that began it also for one that knows that host by hearsay only', async (t) => {
+  // Guards against a batch that two hosts run: one of them came just before the store went away, and
+  // not all others have read its heartbeat.
+  const unread = await newPeer('c', true);
+  const known = await newPeer('b', true);
+  await newCaller([unread.peer, known.peer]).begin(handover.batch);
+  const { address } = unread.peer;
+  await newCaller([known.peer], { batch: 'b', host: 'c', address }).begin(handover.batch);
+  t.deepEqual([...known.begun], []);
+  [unread, known].forEach(({ server }) => server.close());
+});
+
 test('others write down that a host that is cut off takes no new work', async (t) => {
   // The store turns one host away. New steps of its models would wait for the life of a heartbeat.
   const other = await newPeer('c', true);
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -5,6 +5,7 @@
 import newPeers from '../src/newPeers.js';
 import type { Peer } from '../src/newPeers.js';
 import newPeerServer from '../src/newPeerServer.js';
+import type { Beginner } from '../src/peerRouter.js';
 import { newBatch, newItem, silentLog } from './helpers.js';
 
 const clock = newSystemClock();
@@ -45,13 +46,13 @@
   return { peer, taken, begun, announced, heard, server };
 };
 
-export const newCaller = (peers: Peer[], heard: string | null = null) =>
+export const newCaller = (peers: Peer[], heard: Beginner | null = null) =>
   newPeers({
     clock,
     log: silentLog,
     failureDomain: 'detroit',
     readPeers: () => peers,
-    self: { host: 'a', cores: 1 },
+    self: { host: 'a', cores: 1, address: '127.0.0.1:1' },
     // The caller itself comes last.
     rank: (_batch, hosts) =>
       hosts
