A heartbeat that another host wrote late does not undo a newer one

What callers would see: a host that was cut off and is back counts as leaving for up to half a second: batches that it began are begun by others too, and its older usage counts stand instead of the newer ones, also in a window that is closed just then. Cause: a host that does not reach the store has others write its heartbeat; one that is late counts as one that has not written it, so two or three write it, some of them after the host is back and has written newer ones itself. Every reader took what stood last for the newest.

Change: heartbeats are numbered within a run of the process; one that is not newer than what is known, or is of an earlier run, is passed over with a line (heartbeat.late). Hosts of an older version give no number and count as before.

--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import { coordinationRecordSchema } from '@cyclamengate/hosts/coordinationRecord';
 import type { CoordinationRecord, Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
+import newHeartbeatOrder from '@cyclamengate/hosts/newHeartbeatOrder';
 import newLeaseKeeper from '@cyclamengate/hosts/newLeaseKeeper';
 import type { LeaseKeeper } from '@cyclamengate/hosts/newLeaseKeeper';
 import newLeases from '@cyclamengate/hosts/newLeases';
@@ -66,10 +67,16 @@
   const leases = newLeases(clock, leaseMs);
   const members = newMembers(clock, host, () => heartbeatMs() * MISSED_HEARTBEATS);
   const usage = newUsageCounts();
+  const order = newHeartbeatOrder();
+  let heartbeats = 0;
 
   const applyRecord = (record: CoordinationRecord, offset: number): void => {
     switch (record.type) {
       case 'heartbeat':
+        if (!order.isNews(record)) {
+          log.info('heartbeat.late', { of: record.host, isLeaving: record.isLeaving, offset });
+          return;
+        }
         members.apply(record);
         usage.applyHeartbeat(record);
         return;
@@ -115,18 +122,22 @@
   const isFresh = (): boolean => clock.now() < follower.freshAt() + FRESH_MS;
 
   /** What this host says of itself now. */
-  const describe = (): Heartbeat => ({
-    type: 'heartbeat',
-    host,
-    incarnation,
-    failureDomain,
-    address,
-    cores,
-    isLeaving: isLeaving(),
-    running: readRunning(),
-    usage: meter.recent(),
-    countedThrough: meter.windowNow() - 1,
-  });
+  const describe = (): Heartbeat => {
+    heartbeats += 1;
+    return {
+      type: 'heartbeat',
+      host,
+      incarnation,
+      number: heartbeats,
+      failureDomain,
+      address,
+      cores,
+      isLeaving: isLeaving(),
+      running: readRunning(),
+      usage: meter.recent(),
+      countedThrough: meter.windowNow() - 1,
+    };
+  };
 
   const heartbeat = (): Promise<WriteOutcome> => write(describe(), clock.now() + heartbeatMs());
 
--- a/packages/batches/tests/newPeers.test.ts
+++ b/packages/batches/tests/newPeers.test.ts
@@ -82,6 +82,7 @@
     type: 'heartbeat' as const,
     host: 'a',
     incarnation: 'a-run',
+    number: 1,
     failureDomain: 'detroit',
     address: '127.0.0.1:1',
     cores: 1,
--- a/packages/hosts/src/coordinationRecord.ts
+++ b/packages/hosts/src/coordinationRecord.ts
@@ -11,6 +11,8 @@
   host: z.string(),
   /** This run of the host's process. */
   incarnation: z.string(),
+  /** Of this heartbeat within the run, from 1; 0 where a host of an older version gives none. */
+  number: z.int().default(0),
   failureDomain: z.string(),
   /** Where other hosts reach it: IP address and port. */
   address: z.string(),
--- a/packages/hosts/tests/newMembers.test.ts
+++ b/packages/hosts/tests/newMembers.test.ts
@@ -9,6 +9,7 @@
   type: 'heartbeat',
   host,
   incarnation: `${host}-run`,
+  number: 0,
   failureDomain: 'detroit',
   address: '10.0.0.1:7780',
   cores: 1,
--- a/packages/hosts/tests/reportWindows.test.ts
+++ b/packages/hosts/tests/reportWindows.test.ts
@@ -37,6 +37,7 @@
       address: '10.0.0.1:7780',
       host,
       incarnation: `${host}-run`,
+      number: 0,
       failureDomain: 'detroit',
       cores: 1,
       isLeaving: false,
