An order to begin a batch goes past a host that leaves, and says where the store has the batch already

What callers would see: a batch that comes in an outage while hosts are restarted in turn is begun by nobody for as long as the first host in turn leaves, up to eight seconds: it answers that it has not begun the batch, refuses the order, and is asked first again each time. And a host that had read the batch from the log took the order without running it; the others, told that it runs the batch, would have left it to that host for 2 s. The order is answered begun, kept or leaving now; past a leaving host the next is asked.

Orders to begin are a module of their own (newBeginOrders); newPeers keeps the other calls.

--- a/apps/host/src/newPeerService.ts
+++ b/apps/host/src/newPeerService.ts
@@ -20,8 +20,9 @@
   return {
     keep: (record, withinMs) => batchStore.write(record, clock.now() + withinMs),
     begin: (batch) => {
-      if (!isLeaving()) batchStore.begin(batch);
-      return !isLeaving();
+      if (isLeaving()) return 'leaving';
+      batchStore.begin(batch);
+      return batchStore.batches.hasBegun(batch.id) ? 'begun' : 'kept';
     },
     hasBegun: batchStore.batches.hasBegun,
     noteBegun: batchStore.batches.noteBeginner,
--- a/packages/batches/src/newPeerCalls.ts
+++ b/packages/batches/src/newPeerCalls.ts
@@ -32,6 +32,10 @@
  */
 export type PeerAnswer<Value> = { type: 'answer'; value: Value } | { type: 'late' | 'gone' };
 
+/** What a host said, or how it was silent; for a log line. */
+export const wordOf = <Value>(answer: PeerAnswer<Value>): Value | string =>
+  answer.type === 'answer' ? answer.value : answer.type;
+
 /** Calls to other hosts, which tell one that is late from one that is gone. */
 const newPeerCalls = (clock: Clock, log: EventLog) => {
   const clients = new Map<string, PeerClient>();
@@ -98,7 +102,6 @@
     clock.now() < (goneUntil.get(host) ?? -Infinity);
 
   return {
-    clientOf,
     /** Calls a host, however it answered before. */
     askNow,
     /** Calls a host, unless it was gone a moment ago. */
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -1,13 +1,13 @@
 import type Clock from '@cyclamengate/common/Clock';
-import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { Batch, BatchChange, Handover } from './batchRecord.js';
-import chooseBeginner from './chooseBeginner.js';
+import newBeginOrders, { PATIENCE_MS } from './newBeginOrders.js';
+import type { BeginCandidate, BeginOrderOptions } from './newBeginOrders.js';
 import newPeerCalls from './newPeerCalls.js';
-import type { PeerAddress, PeerAnswer } from './newPeerCalls.js';
+import type { PeerAnswer } from './newPeerCalls.js';
 import { writeOutcomeSchema } from './peerRouter.js';
-import type { Beginner, Touch } from './peerRouter.js';
+import type { Touch } from './peerRouter.js';
 
 /** Asked at once: with a third of the hosts cut off from the store, one in 27 times all three are. */
 const MOST_ASKED = 3;
@@ -16,44 +16,18 @@
 const ANSWER_MS = 150;
 /** A look at the store takes 300 ms where it is away. */
 const TOUCH_MS = 800;
-/** Hosts in turn that are asked whether they have begun a batch: a cut mostly takes a third. */
-const MOST_BEGINNERS = 6;
 /** Hosts that are asked in turn to take a batch over; a third of them may be cut off as well. */
 const MOST_SUCCESSORS = 5;
-/**
- * A host that is there and says nothing may have done what it was asked, and is waited for; one that
- * is suspended for longer is passed over, or a step of some seconds would be late.
- */
-const PATIENCE_MS = 2_000;
-
 /** Another host, as its heartbeats tell of it. */
-export interface Peer {
-  host: string;
+export interface Peer extends BeginCandidate {
   failureDomain: string;
-  /** IP address and port for other hosts. */
-  address: string;
-  /** In parts of one. */
-  cores: number;
 }
 
-export interface PeersOptions {
+export interface PeersOptions extends Omit<BeginOrderOptions, 'calls' | 'readPeers'> {
   clock: Clock;
-  log: EventLog;
   failureDomain: string;
   /** Hosts that were live when this one last heard of them, without itself. */
   readPeers: () => Peer[];
-  /** This host. */
-  self: Pick<Peer, 'host' | 'cores' | 'address'>;
-  /** Names of hosts in the order in which they come for a batch; the same on every host. */
-  rank: (batch: Pick<Batch, 'id' | 'model'>, hosts: Pick<Peer, 'host' | 'cores'>[]) => string[];
-  /** Begins a batch on this host. */
-  beginHere: (batch: Batch) => boolean;
-  /** Whether this host has begun a batch. */
-  hasBegunHere: (batch: string) => boolean;
-  /** Notes here that another host has begun a batch. */
-  noteBegunHere: (begun: Beginner) => void;
-  /** The host that was said to have begun a batch. */
-  heardBeginner: (batch: string) => Beginner | null;
   random?: () => number;
 }
 
@@ -72,9 +46,6 @@
 const isAnswer = <Value>(answer: PeerAnswer<Value> | undefined, value: Value): boolean =>
   answer?.type === 'answer' && answer.value === value;
 
-const wordOf = <Value>(answer: PeerAnswer<Value>): Value | string =>
-  answer.type === 'answer' ? answer.value : answer.type;
-
 /**
  * Other hosts, which may reach the store while this one does not.
  *
@@ -82,9 +53,10 @@
  * to such a host would be refused though the system could serve it.
  */
 const newPeers = (options: PeersOptions) => {
-  const { clock, log, failureDomain, readPeers, self, rank, random } = options;
-  const { beginHere, hasBegunHere, noteBegunHere, heardBeginner } = options;
-  const { ask, askNow } = newPeerCalls(clock, log);
+  const { clock, log, failureDomain, readPeers, rank, random } = options;
+  const calls = newPeerCalls(clock, log);
+  const { ask, askNow } = calls;
+  const beginOrders = newBeginOrders({ ...options, calls });
 
   const askToKeep = async (peer: Peer, record: BatchChange): Promise<WriteOutcome> => {
     const answer = await askNow(peer, KEEP_MS + ANSWER_MS, {
@@ -95,43 +67,6 @@
     return answer.type === 'answer' ? writeOutcomeSchema.parse(answer.value) : 'unknown';
   };
 
-  /** Whether a host has begun a batch. */
-  const hasBegunAt = async (
-    peer: PeerAddress | undefined,
-    id: string,
-  ): Promise<PeerAnswer<boolean>> =>
-    peer
-      ? ask(peer, PATIENCE_MS, {
-          name: 'hasBegun',
-          run: (client, signal) => client.hasBegun.query(id, { signal }),
-        })
-      : { type: 'answer', value: hasBegunHere(id) };
-
-  const beginAt = async (
-    peer: PeerAddress | undefined,
-    batch: Batch,
-  ): Promise<PeerAnswer<boolean>> =>
-    peer
-      ? ask(peer, PATIENCE_MS, {
-          name: 'begin',
-          run: (client, signal) => client.begin.mutate(batch, { signal }),
-        })
-      : { type: 'answer', value: beginHere(batch) };
-
-  /** Has the other hosts that may come to run a batch know who has been told to. */
-  const tellBegun = (begun: Beginner, names: string[], peers: Map<string, PeerAddress>): void => {
-    if (begun.host !== self.host) noteBegunHere(begun);
-    names
-      .filter((name) => name !== begun.host)
-      .flatMap((name) => peers.get(name) ?? [])
-      .forEach((peer) =>
-        ask(peer, PATIENCE_MS, {
-          name: 'noteBegun',
-          run: (client, signal) => client.noteBegun.mutate(begun, { signal }),
-        }),
-      );
-  };
-
   const peersByName = (): Map<string, Peer> =>
     new Map(readPeers().map((peer) => [peer.host, peer]));
 
@@ -142,47 +77,7 @@
   };
 
   return {
-    /**
-     * Has the first host in turn that can be reached begin a batch, unless one has begun it already.
-     *
-     * The batch comes again to other hosts, which may reach others of the first in turn. So all of
-     * them are asked before one is told to begin, and one that is late is waited for: taken for one
-     * that has not begun, it and the next host would both run the batch. One that answers the order
-     * too late is not passed over either: the batch comes again, and it will say so then.
-     */
-    begin: async (batch: Batch): Promise<void> => {
-      const peers: Map<string, PeerAddress> = peersByName();
-      const ranked = rank(batch, [self, ...peersByName().values()]).slice(0, MOST_BEGINNERS);
-      const heard = heardBeginner(batch.id);
-      // This host may not have heard of it otherwise: it came just before the store went away.
-      const isUnknown = heard !== null && heard.host !== self.host && !peers.has(heard.host);
-      if (isUnknown) peers.set(heard.host, heard);
-      const names = isUnknown ? [...ranked, heard.host] : ranked;
-      const asked = await Promise.all(
-        names.map(async (host) => ({ host, answer: await hasBegunAt(peers.get(host), batch.id) })),
-      );
-      const choice = chooseBeginner(asked, heard?.host ?? null);
-      if (!choice) {
-        log.warn('batch.not-begun', { batch: batch.id, asked: names });
-        return;
-      }
-      const { host, hasBegun } = choice;
-      const order = hasBegun ? null : await beginAt(peers.get(host), batch);
-      const isRefused = order !== null && isAnswer(order, false);
-      const { address } = peers.get(host) ?? self;
-      const isNews = !isRefused && heard?.host !== host;
-      if (isNews) tellBegun({ batch: batch.id, host, address }, names, peers);
-      const said = asked.map(({ answer }) => wordOf(answer));
-      const ordered = order && wordOf(order);
-      log.info('batch.begun-at', {
-        batch: batch.id,
-        runner: host,
-        ordered,
-        asked: names,
-        said,
-        heard,
-      });
-    },
+    begin: beginOrders.begin,
     /**
      * Has the next host in turn go on with a batch.
      * @returns that host's name; null where none takes it
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -30,12 +30,18 @@
 /** Which host was told to begin a batch before the store had it. */
 export type Beginner = z.infer<typeof beginnerSchema>;
 
+/**
+ * What became of an order to begin a batch: the host runs it, has read that the store has it, or
+ * takes no new work.
+ */
+export type BeginOutcome = 'begun' | 'kept' | 'leaving';
+
 /** What a host does for its peers. */
 export interface PeerService {
   /** Writes a record of batches to the store. */
   keep: (record: BatchChange, withinMs: number) => Promise<WriteOutcome>;
-  /** Begins a batch that the store does not have; @returns false where it takes no new work. */
-  begin: (batch: Batch) => boolean;
+  /** Begins a batch that the store does not have. */
+  begin: (batch: Batch) => BeginOutcome;
   /** Whether this host has begun a batch. */
   hasBegun: (batch: string) => boolean;
   /** Hears that another host has begun a batch. */
--- a/packages/batches/tests/newPeers.test.ts
+++ b/packages/batches/tests/newPeers.test.ts
@@ -74,6 +74,16 @@
   [unread, known].forEach(({ server }) => server.close());
 });
 
+test('a batch that comes while the first host in turn leaves is begun by the next', async (t) => {
+  // Guards against a step that nobody runs: hosts are restarted in turn while the store is away, and
+  // each time that the batch comes the one that leaves is told to begin it.
+  const leaving = await newPeer('c', false);
+  const next = await newPeer('b', true);
+  await newCaller([leaving.peer, next.peer]).begin(handover.batch);
+  t.deepEqual([...next.begun], ['b']);
+  [leaving, next].forEach(({ server }) => server.close());
+});
+
 test('others write down that a host that is cut off takes no new work', async (t) => {
   // The store turns one host away. New steps of its models would wait for the life of a heartbeat.
   const other = await newPeer('c', true);
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -19,8 +19,8 @@
   const server = newPeerServer({
     keep: async () => 'written',
     begin: ({ id }) => {
-      begun.add(id);
-      return isWilling;
+      if (isWilling) begun.add(id);
+      return isWilling ? 'begun' : 'leaving';
     },
     hasBegun: (id) => begun.has(id),
     noteBegun: ({ batch, host: beginner }) => {
@@ -59,7 +59,7 @@
         .map(({ host }) => host)
         .sort()
         .reverse(),
-    beginHere: () => false,
+    beginHere: () => 'leaving',
     hasBegunHere: () => false,
     noteBegunHere: () => {},
     heardBeginner: () => heard,
