A host that answers in time is not looked for besides

The test failed before (sockets that no request ever came on). An order to begin that meets a host that has just gone goes on to the next, as past one that leaves.

--- a/packages/batches/src/isListening.ts
+++ b/packages/batches/src/isListening.ts
@@ -12,14 +12,16 @@
   new Promise((resolve) => {
     const [host, port] = address.split(':');
     const socket = connect({ host, port: Number(port) });
+    let timer: NodeJS.Timeout | null = null;
     const settle = (isThere: boolean): void => {
+      if (timer) clearTimeout(timer);
       socket.destroy();
       resolve(isThere);
     };
     socket.once('connect', () => settle(true));
     socket.once('error', () => settle(false));
     // A process that was held up itself meets its timer before the connection that stood in time.
-    setTimeout(() => setImmediate(() => settle(false)), CONNECT_MS).unref();
+    timer = setTimeout(() => setImmediate(() => settle(false)), CONNECT_MS);
   });
 
 export default isListening;
--- a/packages/batches/src/newBeginOrders.ts
+++ b/packages/batches/src/newBeginOrders.ts
@@ -90,7 +90,7 @@
       candidates.map(async (at) => ({ host: at.host, answer: await hasBegunAt(at, id) })),
     );
 
-  /** Has hosts in turn begin a batch, past those that leave. */
+  /** Has hosts in turn begin a batch, past those that leave or are gone by now. */
   const orderFirst = async (
     batch: Batch,
     candidates: PeerAddress[],
@@ -113,7 +113,7 @@
       said,
       heard: heard?.host ?? null,
     });
-    if (outcome === 'leaving') {
+    if (outcome === 'leaving' || outcome === 'gone') {
       const others = asked.filter(({ host }) => host !== at.host);
       await orderFirst(batch, candidates, others, heard);
       return;
--- a/packages/batches/src/newPeerCalls.ts
+++ b/packages/batches/src/newPeerCalls.ts
@@ -49,9 +49,17 @@
     return client;
   };
 
-  /** @param failed ends the wait before the look */
-  const isThere = async (peer: PeerAddress, failed: AbortSignal): Promise<boolean> => {
-    await clock.sleepUntil(clock.now() + PROBE_AFTER_MS, failed);
+  /**
+   * Looks whether a host is there, once a call has failed or is slow.
+   * @param over the call has ended, and nobody needs to know
+   */
+  const isThere = async (
+    peer: PeerAddress,
+    failed: AbortSignal,
+    over: AbortSignal,
+  ): Promise<boolean> => {
+    await clock.sleepUntil(clock.now() + PROBE_AFTER_MS, AbortSignal.any([failed, over]));
+    if (over.aborted) return true;
     const is = await isListening(peer.address);
     if (!is) goneUntil.set(peer.host, clock.now() + GONE_MS);
     return is;
@@ -82,7 +90,7 @@
     const second = clock
       .sleepUntil(startedAt + REPEAT_AFTER_MS, AbortSignal.any([signal, failed.signal]))
       .then(run);
-    const there = isThere(peer, failed.signal);
+    const there = isThere(peer, failed.signal, over.signal);
     const answer: PeerAnswer<Value> = await Promise.race([
       Promise.any([first, second]).then(
         (value) => ({ type: 'answer' as const, value }),
@@ -91,7 +99,6 @@
       there.then((is) => (is ? new Promise<never>(() => {}) : { type: 'gone' as const })),
     ]);
     over.abort('over');
-    failed.abort('over');
     const { type } = answer;
     const tookMs = Math.round(clock.now() - startedAt);
     if (type !== 'answer') noteSilence(peer, { call: call.name, type, tookMs, reason });
--- a/packages/batches/tests/latePeers.test.ts
+++ b/packages/batches/tests/latePeers.test.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import test from 'ava';
 import { handover, newCaller, newPeer } from './peerHelpers.js';
 
@@ -67,3 +67,18 @@
   peer.server.closeAllConnections();
   peer.server.close();
 });
+
+test('a host that answers in time is not looked for besides', async (t) => {
+  // Guards against a second connection for every call between hosts.
+  const peer = await newPeer('c', true);
+  const unused = new Set<Socket>();
+  peer.server.on('connection', (socket: Socket) => unused.add(socket));
+  peer.server.on('request', ({ socket }) => unused.delete(socket));
+  const caller = newCaller([peer.peer]);
+  t.is(await caller.handOver(handover), 'c');
+  t.is(await caller.touch(), 'steady');
+  t.is(await caller.touch(), 'steady');
+  t.is(unused.size, 0);
+  peer.server.closeAllConnections();
+  peer.server.close();
+});
