--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -1,6 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
-import assertNever from '@cyclamengate/common/assertNever';
 import newNotifier from '@cyclamengate/common/newNotifier';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
@@ -28,16 +27,13 @@
 import planMoves from './planMoves.js';
 import planStarts from './planStarts.js';
 import { isFreshEnough, newProgress } from './progress.js';
+import newRunSettler from './newRunSettler.js';
 import runOnce from './runOnce.js';
-import type { RunEnd } from './runOnce.js';
 
 /** How often waiting and running items are looked at, beside each change. */
 const TICK_MS = 40;
 /** How often a host without items looks whether it has come to own a batch. */
 const IDLE_TICK_MS = 250;
-/** First pause of an item after a failed run; doubles. */
-const FIRST_PAUSE_MS = 30;
-const LONGEST_PAUSE_MS = 800;
 /** How much text a dead host takes with it: 20 events of 35 ms. */
 const SAVE_EVERY_MS = 700;
 /** An item that moved stays so long, until its new engine's pace is known: about 25 events. */
@@ -111,53 +107,7 @@
   const routeOf = ({ batch }: BatchState): Route | undefined =>
     readSettings()?.settings.routes.find(({ name }) => name === batch.route);
 
-  const putBack = (task: ItemTask, pauseMs: number): void => {
-    task.phase = 'waiting';
-    task.notBefore = clock.now() + pauseMs;
-    notifier.notify();
-  };
-
-  const pauseOf = (task: ItemTask): number =>
-    Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** Math.min(task.setbacks, 5));
-
-  const settle = async (task: ItemTask, upstream: string, end: RunEnd): Promise<void> => {
-    const { item, state } = task;
-    const route = routeOf(state);
-    if (task.controller.signal.aborted) return;
-    if (end.type !== 'whole') {
-      const { type, ...why } = end;
-      log.info('item.run-ended', { requestId: item.id, upstream, end: type, ...why });
-    }
-    switch (end.type) {
-      case 'whole':
-        health.succeeded(upstream);
-        await score(task);
-        return;
-      case 'impossible':
-        await abandon(task, 'the engine says that it can never be done');
-        return;
-      case 'failed':
-        task.failures += end.status === 500 ? 1 : 0;
-        task.setbacks += 1;
-        task.avoid = upstream;
-        if (task.failures >= (route?.mostUpstreams ?? 1)) await abandon(task, 'failed too often');
-        else putBack(task, pauseOf(task));
-        return;
-      case 'not-run':
-        if (end.isUnreachable) health.failed(upstream, end.reason);
-        else refusals.note(upstream, state.batch.model);
-        task.avoid = upstream;
-        putBack(task, 0);
-        return;
-      case 'interrupted':
-        if (end.isUpstreamFault) health.failed(upstream, end.reason);
-        task.avoid = upstream;
-        putBack(task, 0);
-        break;
-      default:
-        assertNever(end);
-    }
-  };
+  const settle = newRunSettler({ clock, log, health, refusals, routeOf, abandon, score, notifier });
 
   /** Text that mixes versions where that is not allowed, or is too old, is made anew. */
   const dropUnusable = (task: ItemTask, isSingleVersion: boolean): void => {
