Tests of all programs can be run beside load, not those of hosts only

The variable that names the folder for kept lines began with the prefix from which the programs read their settings, so every copy of a test that starts the command line ended with 'Unknown argument: testLogs' (24 of 24).

--- a/apps/host/tests/newHosts.ts
+++ b/apps/host/tests/newHosts.ts
@@ -15,7 +15,7 @@
 const PROGRAM = fileURLToPath(new URL('../src/main.js', import.meta.url));
 const START_MS = 15_000;
 /** Names a folder in which the hosts' lines are kept. */
-const LOGS_VARIABLE = 'CYCLAMENGATE_TEST_LOGS';
+const LOGS_VARIABLE = 'TEST_LOGS_FOLDER';
 
 /** One host's process. */
 export interface TestHost {
--- a/scripts/underLoad.js
+++ b/scripts/underLoad.js
@@ -28,7 +28,7 @@
   const folder = join(base, `${round}-${copy}`);
   await mkdir(folder, { recursive: true });
   const child = spawn(AVA, ['--tap', ...positionals], {
-    env: { ...process.env, CYCLAMENGATE_TEST_LOGS: folder },
+    env: { ...process.env, TEST_LOGS_FOLDER: folder },
     stdio: ['ignore', 'pipe', 'pipe'],
   });
   const output = [];
