--- a/apps/host/tests/wholePath.process.test.ts
+++ b/apps/host/tests/wholePath.process.test.ts
@@ -1,31 +1,8 @@
-import newPlatform, { newOperatorSettings } from '@cyclamengate/app-platform-standin/newPlatform';
+import { newOperatorSettings } from '@cyclamengate/app-platform-standin/newPlatform';
 import test from 'ava';
 import { batchBody, readPage, readWhole, submit, textOf } from './batchHelpers.js';
-import { isReady, newHosts, send, until } from './newHosts.js';
-import type { TestHost } from './newHosts.js';
-
-const DOMAINS = ['detroit', 'cleveland'];
-
-const newSystem = async (enginesADomain = 2, count = 3) => {
-  const platform = await newPlatform({ domains: DOMAINS, enginesADomain });
-  const domains = Array.from({ length: count }, (_, index) => DOMAINS[index % 2] ?? 'detroit');
-  const system = await newHosts(platform, domains);
-  const close = async (): Promise<void> => {
-    await system.close();
-    await platform.close();
-  };
-  const [first, second, third] = system.hosts;
-  if (!first || !second || !third) throw new Error('three hosts are needed');
-  return { platform, system, first, second, third, close };
-};
-
-/** The host that runs items. An engine's run reaches this process by a socket, the line by a pipe. */
-const findRunner = async (hosts: TestHost[]): Promise<TestHost> => {
-  const find = (): TestHost | undefined =>
-    hosts.find(({ events }) => events.some(({ event }) => event === 'item.started'));
-  await until(() => find() !== undefined);
-  return find() as TestHost;
-};
+import { send, until } from './newHosts.js';
+import { newSystem } from './wholeSystem.js';
 
 test.serial('a batch is run, scored, and read alike at every host', async (t) => {
   const { platform, first, second, third, close } = await newSystem();
@@ -118,27 +95,6 @@
   await close();
 });
 
-test.serial('a batch goes on when the host that runs it is killed', async (t) => {
-  // The host that runs a batch dies in the middle of it. Its trainer reads at another host and
-  // notices a pause, no more: nothing is lost, nothing stands twice.
-  const { platform, system, first, close } = await newSystem();
-  platform.engines.forEach(({ faults }) => {
-    faults.slowness = 20;
-  });
-  t.is((await submit(first, 'b3', batchBody('b3', 2, 4))).status, 202);
-  await until(() => platform.engines.some(({ runs }) => runs.length > 0));
-  const runner = await findRunner(system.hosts);
-  await runner.end('SIGKILL');
-  platform.engines.forEach(({ faults }) => {
-    faults.slowness = 1;
-  });
-  const survivor = system.hosts.find((host) => host !== runner) as typeof first;
-  const page = await readWhole(survivor, 'b3');
-  t.is(new Set(page.results.map(({ id }) => id)).size, 8);
-  t.true(page.results.every(({ id, text }) => text === textOf(id)));
-  await close();
-});
-
 test.serial('texts that an engine breaks off go on at another one', async (t) => {
   // One engine resets every stream after two events. Its items go on elsewhere after their last
   // event: no event is missing or stands twice.
@@ -194,44 +150,6 @@
   await close();
 });
 
-test.serial('a host that is stopped is no longer ready, and cuts off no request', async (t) => {
-  // The platform stops hosts in turn. Callers whose requests are under way get their answers.
-  const { first, close } = await newSystem(1);
-  const asked = Array.from({ length: 8 }, (_, index) =>
-    send(first, 'POST', '/lookup/7', { id: `s${index}`, body: 'x' }),
-  );
-  const ended = first.end('SIGTERM');
-  t.true((await Promise.all(asked)).every(({ status }) => status === 200));
-  t.false(await isReady(first));
-  await ended;
-  t.is(first.child.exitCode, 0);
-  await close();
-});
-
-test.serial('the texts of a host that is stopped go on at the next one', async (t) => {
-  // The host that runs a batch is stopped in the middle of it. Its trainer notices nothing: the
-  // items go on at another host, after the events that there were.
-  const { platform, system, first, close } = await newSystem();
-  platform.engines.forEach(({ faults }) => {
-    faults.slowness = 15;
-  });
-  t.is((await submit(first, 'b9', batchBody('b9', 2, 4))).status, 202);
-  await until(() => platform.engines.some(({ runs }) => runs.length > 0));
-  await new Promise((resolve) => {
-    setTimeout(resolve, 700);
-  });
-  const runner = await findRunner(system.hosts);
-  const ended = runner.end('SIGTERM');
-  const survivor = system.hosts.find((host) => host !== runner) as typeof first;
-  const page = await readWhole(survivor, 'b9');
-  t.true(page.results.every(({ id, text }) => text === textOf(id)));
-  const resumed = platform.engines.flatMap(({ runs }) => runs).filter((r) => r.lastEventId > 0);
-  t.true(resumed.length > 0);
-  await ended;
-  t.is(runner.child.exitCode, 0);
-  await close();
-});
-
 const newOutage = async () => {
   const system = await newSystem();
   const { platform, first, second } = system;
--- /dev/null
+++ b/apps/host/tests/wholeSystem.ts
@@ -0,0 +1,27 @@
+import newPlatform from '@cyclamengate/app-platform-standin/newPlatform';
+import { newHosts, until } from './newHosts.js';
+import type { TestHost } from './newHosts.js';
+
+const DOMAINS = ['detroit', 'cleveland'];
+
+/** A platform with engines, and hosts in both failure domains. */
+export const newSystem = async (enginesADomain = 2, count = 3) => {
+  const platform = await newPlatform({ domains: DOMAINS, enginesADomain });
+  const domains = Array.from({ length: count }, (_, index) => DOMAINS[index % 2] ?? 'detroit');
+  const system = await newHosts(platform, domains);
+  const close = async (): Promise<void> => {
+    await system.close();
+    await platform.close();
+  };
+  const [first, second, third] = system.hosts;
+  if (!first || !second || !third) throw new Error('three hosts are needed');
+  return { platform, system, first, second, third, close };
+};
+
+/** The host that runs items. An engine's run reaches this process by a socket, the line by a pipe. */
+export const findRunner = async (hosts: TestHost[]): Promise<TestHost> => {
+  const find = (): TestHost | undefined =>
+    hosts.find(({ events }) => events.some(({ event }) => event === 'item.started'));
+  await until(() => find() !== undefined);
+  return find() as TestHost;
+};
--- a/packages/batches/tests/newBatchRunner.test.ts
+++ b/packages/batches/tests/newBatchRunner.test.ts
@@ -1,139 +1,11 @@
-import BrokenAnswer from '@cyclamengate/engines/BrokenAnswer';
-import newHealth from '@cyclamengate/engines/newHealth';
-import newLoads from '@cyclamengate/engines/newLoads';
-import UpstreamClient from '@cyclamengate/engines/UpstreamClient';
-import type { UpstreamOutcome, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
-import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
-import { newManualClock } from '@cyclamengate/fakes/newManualClock';
-import newSettingsView from '@cyclamengate/gateway/newSettingsView';
-import type { Route } from '@cyclamengate/gateway/operatorSettings';
 import test from 'ava';
-import type { Handover, ItemResult, Part } from '../src/batchRecord.js';
-import newBatches from '../src/newBatches.js';
-import newBatchRunner from '../src/newBatchRunner.js';
-import newPartTexts from '../src/newPartTexts.js';
-import newRequestReader from '../src/newRequestReader.js';
-import { eventLine, newBatch, newCandidate, newItem, newLineReader, silentLog } from './helpers.js';
-
-const route: Route = {
-  name: 'rounds',
-  hostName: 'parts.example',
-  pathPrefix: '/rounds/',
-  kind: 'batch',
-  isPublic: false,
-  isStream: false,
-  isResumable: true,
-  isSingleVersion: false,
-  mostUpstreams: 3,
-  timeoutMs: 10_000,
-  targetLatencyMs: 400,
-  resultsDueMs: 7_500,
-  retentionMs: 40_000,
-  priority: 1,
-  splits: [{ service: 'models', weight: 1 }],
-};
+import type { Part } from '../src/batchRecord.js';
+import { newBatch, newItem } from './helpers.js';
+import newRunnerHost from './newRunnerHost.js';
 
 const scoring = { id: 's1', hostName: 'parts.example', path: '/score', body: '' };
 const other = { ...scoring, id: 's2' };
 
-/** One host's runner over an engine that makes two events of each item. */
-const newHost = () => {
-  const clock = newManualClock();
-  const parts = newPartTexts(clock);
-  const batches = newBatches({ clock, lifeMs: 120_000, parts });
-  const view = newSettingsView(silentLog);
-  const limits = { mostHeaderBytes: 0, mostBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 };
-  view.put({ version: 1, routes: [route], services: [], customers: null, limits });
-  const seen = {
-    runs: [] as string[],
-    scored: [] as string[],
-    results: [] as ItemResult[],
-    handovers: [] as Handover[],
-  };
-  const state = { isFresh: true, isSlow: false };
-  /** Lets a slow engine go on. */
-  const goOn = new AbortController();
-
-  async function* body(after: string | null, signal: AbortSignal): AsyncGenerator<Buffer> {
-    if (after === null) yield Buffer.from(eventLine(1, 'one'));
-    if (state.isSlow) {
-      await new Promise((resolve) => {
-        signal.addEventListener('abort', resolve);
-        goOn.signal.addEventListener('abort', resolve);
-      });
-      if (signal.aborted) throw new BrokenAnswer('cut');
-    }
-    yield Buffer.from(eventLine(2, 'two'));
-  }
-
-  class FakeClient extends UpstreamClient {
-    async send(
-      _entry: UpstreamEntry,
-      request: UpstreamRequest,
-      _firstByteBy: number,
-      signal: AbortSignal,
-    ): Promise<UpstreamOutcome> {
-      seen.runs.push(request.requestId);
-      const head = { status: 200, headers: {}, signature: 's', load: null, isEventStream: true };
-      return {
-        type: 'answer',
-        answer: { ...head, version: 1, body: body(request.lastEventId, signal) },
-      };
-    }
-
-    isConnected(): boolean {
-      return true;
-    }
-
-    forget(): void {}
-  }
-
-  const runner = newBatchRunner({
-    clock,
-    log: silentLog,
-    batches,
-    client: new FakeClient(),
-    newEventReader: newLineReader,
-    candidates: () => [newCandidate('a')],
-    health: newHealth(clock, silentLog),
-    loads: newLoads(clock),
-    scorer: async ({ id }) => {
-      seen.scored.push(id);
-      return { type: 'score', score: 'good' };
-    },
-    readSettings: view.read,
-    isOwner: () => true,
-    mayWork: ({ isKept }) => state.isFresh || !isKept,
-    isListed: () => true,
-    incarnation: 'host-1',
-    isLeaving: () => false,
-    freshAt: clock.now,
-    isLive: () => true,
-    hasLeft: () => false,
-    write: async (result) => {
-      seen.results.push(result);
-      batches.apply(result);
-      return 'written';
-    },
-    writePart: async () => 'written',
-    writeText: async (_batch, text) => ({ topic: text, offset: 0, count: 1, bytes: text.length }),
-    readParts: async () => {},
-    handOverTo: async (handover) => {
-      seen.handovers.push(handover);
-      return 'host-2';
-    },
-    requests: newRequestReader({ clock, log: silentLog, readTexts: async () => [] }),
-  });
-  const end = new AbortController();
-  const running = runner.run(end.signal);
-  const close = async (): Promise<void> => {
-    end.abort();
-    await clock.advance(500);
-    await running;
-  };
-  return { clock, batches, parts, seen, state, goOn, runner, close };
-};
-
 const whole: Part = {
   type: 'part',
   batch: 'b',
@@ -147,7 +19,7 @@
 };
 
 test('an item is run, scored, and listed with the place of its text', async (t) => {
-  const { clock, batches, seen, close } = newHost();
+  const { clock, batches, seen, close } = newRunnerHost();
   batches.apply(newBatch('b', [newItem('1', { scoring })]));
   await clock.advance(500);
   t.deepEqual(seen.runs, ['1']);
@@ -159,7 +31,7 @@
 
 test('a result is not written before the batch that it belongs to stands in the log', async (t) => {
   // Begun while the store was away; hosts pass over a result of a batch that they do not know yet.
-  const { clock, batches, seen, close } = newHost();
+  const { clock, batches, seen, close } = newRunnerHost();
   const batch = newBatch('b', [newItem('1', { scoring })]);
   batches.begin(batch);
   await clock.advance(500);
@@ -178,7 +50,7 @@
   // A host starts and reads the log from its beginning: a batch, and its text, and only seconds of
   // reading later the batch's end. Begun in between, scoring calls run for a batch that ended long
   // ago, and its customer pays for them.
-  const { clock, batches, parts, seen, state, close } = newHost();
+  const { clock, batches, parts, seen, state, close } = newRunnerHost();
   state.isFresh = false;
   parts.apply(whole);
   batches.apply(newBatch('b', [newItem('1', { scoring }), newItem('2', { scoring })]));
@@ -195,7 +67,7 @@
   // The store turns one host away alone. Its items run on, and meanwhile their batch is ended at
   // another host. Scoring calls for them would run seconds after their customer was told that all
   // of it has ended.
-  const { clock, batches, seen, state, goOn, close } = newHost();
+  const { clock, batches, seen, state, goOn, close } = newRunnerHost();
   const batch = newBatch('b', [newItem('1', { scoring }), newItem('2', { scoring: other })]);
   state.isSlow = true;
   batches.apply(batch);
@@ -215,7 +87,7 @@
 test('a batch that the store does not have yet runs on any view, and is listed once it has', async (t) => {
   // The store is away: no view is fresh. This batch can't have been ended, since nobody was told
   // that it is there.
-  const { clock, batches, seen, state, close } = newHost();
+  const { clock, batches, seen, state, close } = newRunnerHost();
   state.isFresh = false;
   const batch = newBatch('b', [newItem('1', { scoring })]);
   batches.begin(batch);
@@ -228,7 +100,7 @@
 test('a host that is stopped hands its batches, with their texts so far, straight to another', async (t) => {
   // Hosts are restarted in turn while the store is away. What the leaving host writes down reaches
   // nobody, nobody learns that it leaves, and the step stands still until the store is back.
-  const { clock, batches, seen, state, runner, close } = newHost();
+  const { clock, batches, seen, state, runner, close } = newRunnerHost();
   state.isSlow = true;
   batches.apply(newBatch('b', [newItem('1', { scoring }), newItem('2', { scoring })]));
   await clock.advance(500);
@@ -249,7 +121,7 @@
 });
 
 test('a batch that another host hands over goes on after the events that it brought', async (t) => {
-  const { clock, batches, parts, seen, close } = newHost();
+  const { clock, batches, parts, seen, close } = newRunnerHost();
   const batch = newBatch('b', [newItem('1', { scoring })]);
   parts.apply({ ...whole, isWhole: false });
   batches.begin(batch);
--- /dev/null
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -0,0 +1,133 @@
+import BrokenAnswer from '@cyclamengate/engines/BrokenAnswer';
+import newHealth from '@cyclamengate/engines/newHealth';
+import newLoads from '@cyclamengate/engines/newLoads';
+import UpstreamClient from '@cyclamengate/engines/UpstreamClient';
+import type { UpstreamOutcome, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
+import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import newSettingsView from '@cyclamengate/gateway/newSettingsView';
+import type { Route } from '@cyclamengate/gateway/operatorSettings';
+import type { Handover, ItemResult } from '../src/batchRecord.js';
+import newBatches from '../src/newBatches.js';
+import newBatchRunner from '../src/newBatchRunner.js';
+import newPartTexts from '../src/newPartTexts.js';
+import newRequestReader from '../src/newRequestReader.js';
+import { eventLine, newCandidate, newLineReader, silentLog } from './helpers.js';
+
+const route: Route = {
+  name: 'rounds',
+  hostName: 'parts.example',
+  pathPrefix: '/rounds/',
+  kind: 'batch',
+  isPublic: false,
+  isStream: false,
+  isResumable: true,
+  isSingleVersion: false,
+  mostUpstreams: 3,
+  timeoutMs: 10_000,
+  targetLatencyMs: 400,
+  resultsDueMs: 7_500,
+  retentionMs: 40_000,
+  priority: 1,
+  splits: [{ service: 'models', weight: 1 }],
+};
+
+/** One host's runner over an engine that makes two events of each item. */
+const newRunnerHost = () => {
+  const clock = newManualClock();
+  const parts = newPartTexts(clock);
+  const batches = newBatches({ clock, lifeMs: 120_000, parts });
+  const view = newSettingsView(silentLog);
+  const limits = { mostHeaderBytes: 0, mostBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 };
+  view.put({ version: 1, routes: [route], services: [], customers: null, limits });
+  const seen = {
+    runs: [] as string[],
+    scored: [] as string[],
+    results: [] as ItemResult[],
+    handovers: [] as Handover[],
+  };
+  const state = { isFresh: true, isSlow: false };
+  /** Lets a slow engine go on. */
+  const goOn = new AbortController();
+
+  async function* body(after: string | null, signal: AbortSignal): AsyncGenerator<Buffer> {
+    if (after === null) yield Buffer.from(eventLine(1, 'one'));
+    if (state.isSlow) {
+      await new Promise((resolve) => {
+        signal.addEventListener('abort', resolve);
+        goOn.signal.addEventListener('abort', resolve);
+      });
+      if (signal.aborted) throw new BrokenAnswer('cut');
+    }
+    yield Buffer.from(eventLine(2, 'two'));
+  }
+
+  class FakeClient extends UpstreamClient {
+    async send(
+      _entry: UpstreamEntry,
+      request: UpstreamRequest,
+      _firstByteBy: number,
+      signal: AbortSignal,
+    ): Promise<UpstreamOutcome> {
+      seen.runs.push(request.requestId);
+      const head = { status: 200, headers: {}, signature: 's', load: null, isEventStream: true };
+      return {
+        type: 'answer',
+        answer: { ...head, version: 1, body: body(request.lastEventId, signal) },
+      };
+    }
+
+    isConnected(): boolean {
+      return true;
+    }
+
+    forget(): void {}
+  }
+
+  const runner = newBatchRunner({
+    clock,
+    log: silentLog,
+    batches,
+    client: new FakeClient(),
+    newEventReader: newLineReader,
+    candidates: () => [newCandidate('a')],
+    health: newHealth(clock, silentLog),
+    loads: newLoads(clock),
+    scorer: async ({ id }) => {
+      seen.scored.push(id);
+      return { type: 'score', score: 'good' };
+    },
+    readSettings: view.read,
+    isOwner: () => true,
+    mayWork: ({ isKept }) => state.isFresh || !isKept,
+    isListed: () => true,
+    incarnation: 'host-1',
+    isLeaving: () => false,
+    freshAt: clock.now,
+    isLive: () => true,
+    hasLeft: () => false,
+    write: async (result) => {
+      seen.results.push(result);
+      batches.apply(result);
+      return 'written';
+    },
+    writePart: async () => 'written',
+    writeText: async (_batch, text) => ({ topic: text, offset: 0, count: 1, bytes: text.length }),
+    readParts: async () => {},
+    handOverTo: async (handover) => {
+      seen.handovers.push(handover);
+      return 'host-2';
+    },
+    requests: newRequestReader({ clock, log: silentLog, readTexts: async () => [] }),
+  });
+  const end = new AbortController();
+  const running = runner.run(end.signal);
+  const close = async (): Promise<void> => {
+    end.abort();
+    await clock.advance(500);
+    await running;
+  };
+  return { clock, batches, parts, seen, state, goOn, runner, close };
+};
+
+export default newRunnerHost;
