Calls to a host that may be this one have one shape; what nobody read is gone

hasBegunAt, beginAt and tell are one function with three calls; of a beginner that was heard of a batch's state keeps the moment, which is all that was read.

--- a/packages/batches/src/newAssignment.ts
+++ b/packages/batches/src/newAssignment.ts
@@ -36,11 +36,10 @@
 const newAssignment =
   ({ clock, incarnation, isLeaving, freshAt, isLive, hasLeft, takeovers }: AssignmentOptions) =>
   (state: BatchState): boolean => {
-    const { isBegunHere, handedOverUntil, begunBy, heardBeginner } = state;
+    const { isBegunHere, handedOverUntil, begunBy, beginnerHeardAt } = state;
     if (isLeaving() || freshAt() < handedOverUntil) return false;
     if (isBegunHere || begunBy?.incarnation === incarnation) return true;
-    const isHeardOf =
-      begunBy === null && heardBeginner !== null && clock.now() < heardBeginner.at + BEGUN_GRACE_MS;
+    const isHeardOf = begunBy === null && clock.now() < beginnerHeardAt + BEGUN_GRACE_MS;
     const isBegunElsewhere =
       begunBy !== null &&
       !hasLeft(begunBy.host, begunBy.incarnation) &&
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -46,8 +46,11 @@
   handedOverUntil: number;
   /** Who else, by the log; `readAt` is on the monotonic clock. */
   begunBy: { host: string; incarnation: string; readAt: number } | null;
-  /** Who was said to have begun it, and when that was known beside the batch; the log may not say so yet. */
-  heardBeginner: { host: string; at: number } | null;
+  /**
+   * When another host was said to have begun it, on the monotonic clock, or when it was added after
+   * that; the log may not say so yet.
+   */
+  beginnerHeardAt: number;
   /** When this host forgets it, on the monotonic clock. */
   keepUntil: number;
 }
@@ -87,7 +90,6 @@
   const add = (batch: Batch | BatchHead, isKept: boolean): BatchState => {
     const age = Math.max(0, clock.wallTime() - batch.acceptedAt);
     const isWhole = batch.type === 'batch';
-    const beginner = heard.get(batch.id);
     const state: BatchState = {
       batch,
       items: mapById(isWhole ? batch.items.map(newItemHead) : batch.items),
@@ -101,7 +103,7 @@
       isBegunHere: !isKept,
       handedOverUntil: -Infinity,
       begunBy: null,
-      heardBeginner: beginner ? { host: beginner.host, at: clock.now() } : null,
+      beginnerHeardAt: heard.has(batch.id) ? clock.now() : -Infinity,
       keepUntil: clock.now() + Math.max(0, lifeMs - Math.min(age, lifeMs)) + lifeMs / 2,
     };
     states.set(batch.id, state);
@@ -211,11 +213,10 @@
     },
     /** Hears that another host has begun a batch. */
     noteBeginner: (beginner: Beginner): void => {
-      const { batch, host } = beginner;
       const at = clock.now();
-      heard.set(batch, { ...beginner, at });
-      const state = states.get(batch);
-      if (state) state.heardBeginner = { host, at };
+      heard.set(beginner.batch, { ...beginner, at });
+      const state = states.get(beginner.batch);
+      if (state) state.beginnerHeardAt = at;
     },
     /** The host that was said to have begun a batch; null where none was. */
     heardBeginner: (id: string): Beginner | null => heard.get(id) ?? null,
--- a/packages/batches/src/newBeginOrders.ts
+++ b/packages/batches/src/newBeginOrders.ts
@@ -3,7 +3,7 @@
 import chooseBeginner from './chooseBeginner.js';
 import type { BeginnerAnswer } from './chooseBeginner.js';
 import { wordOf } from './newPeerCalls.js';
-import type { PeerAddress, PeerAnswer, PeerCalls } from './newPeerCalls.js';
+import type { PeerAddress, PeerAnswer, PeerCall, PeerCalls } from './newPeerCalls.js';
 import type { Beginner, BeginOutcome } from './peerRouter.js';
 
 /** Hosts in turn that are asked whether they have begun a batch: a cut mostly takes a third. */
@@ -43,34 +43,34 @@
 const newBeginOrders = (options: BeginOrderOptions) => {
   const { log, calls, self, readPeers, rank } = options;
   const { beginHere, hasBegunHere, noteBegunHere, heardBeginner } = options;
-  const { ask } = calls;
 
   const isHere = ({ host }: PeerAddress): boolean => host === self.host;
 
-  const hasBegunAt = async (at: PeerAddress, id: string): Promise<PeerAnswer<boolean>> =>
-    isHere(at)
-      ? { type: 'answer', value: hasBegunHere(id) }
-      : ask(at, PATIENCE_MS, {
-          name: 'hasBegun',
-          run: (client, signal) => client.hasBegun.query(id, { signal }),
-        });
+  /** Asks a host, which may be this one. */
+  const askAt = async <Value>(
+    at: PeerAddress,
+    here: () => Value,
+    call: PeerCall<Value>,
+  ): Promise<PeerAnswer<Value>> =>
+    isHere(at) ? { type: 'answer', value: here() } : calls.ask(at, PATIENCE_MS, call);
 
-  const beginAt = async (at: PeerAddress, batch: Batch): Promise<PeerAnswer<BeginOutcome>> =>
-    isHere(at)
-      ? { type: 'answer', value: beginHere(batch) }
-      : ask(at, PATIENCE_MS, {
-          name: 'begin',
-          run: (client, signal) => client.begin.mutate(batch, { signal }),
-        });
+  const hasBegunAt = (at: PeerAddress, id: string): Promise<PeerAnswer<boolean>> =>
+    askAt(at, () => hasBegunHere(id), {
+      name: 'hasBegun',
+      run: (client, signal) => client.hasBegun.query(id, { signal }),
+    });
 
-  const tell = (at: PeerAddress, begun: Beginner): void => {
-    if (isHere(at)) noteBegunHere(begun);
-    else
-      ask(at, PATIENCE_MS, {
-        name: 'noteBegun',
-        run: (client, signal) => client.noteBegun.mutate(begun, { signal }),
-      });
-  };
+  const beginAt = (at: PeerAddress, batch: Batch): Promise<PeerAnswer<BeginOutcome>> =>
+    askAt(at, () => beginHere(batch), {
+      name: 'begin',
+      run: (client, signal) => client.begin.mutate(batch, { signal }),
+    });
+
+  const tell = (at: PeerAddress, begun: Beginner): Promise<PeerAnswer<void>> =>
+    askAt(at, () => noteBegunHere(begun), {
+      name: 'noteBegun',
+      run: (client, signal) => client.noteBegun.mutate(begun, { signal }),
+    });
 
   /**
    * Hosts that may run a batch, in turn. This one may know the host that is said to have begun it from
--- a/packages/batches/src/newPeerCalls.ts
+++ b/packages/batches/src/newPeerCalls.ts
@@ -65,9 +65,6 @@
     return is;
   };
 
-  const noteSilence = (peer: PeerAddress, about: Record<string, unknown>): void =>
-    log.warn('peer.no-answer', { peer: peer.host, ...about });
-
   const askNow = async <Value>(
     peer: PeerAddress,
     limitMs: number,
@@ -101,7 +98,9 @@
     over.abort('over');
     const { type } = answer;
     const tookMs = Math.round(clock.now() - startedAt);
-    if (type !== 'answer') noteSilence(peer, { call: call.name, type, tookMs, reason });
+    if (type !== 'answer') {
+      log.warn('peer.no-answer', { peer: peer.host, call: call.name, type, tookMs, reason });
+    }
     return answer;
   };
 
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -18,6 +18,7 @@
 const TOUCH_MS = 800;
 /** Hosts that are asked in turn to take a batch over; a third of them may be cut off as well. */
 const MOST_SUCCESSORS = 5;
+
 /** Another host, as its heartbeats tell of it. */
 export interface Peer extends BeginCandidate {
   failureDomain: string;
