A host that leaves tells the sender of a large body what became of it

What callers saw: on a connection that stays open while its host is stopped, a body over the limit could end with EPIPE in place of the refusal. The same cause as at the entry's 413: a leaving host closes after each answer, with the rest of that body unread.

Ruled out: hosts that do not leave; they keep the connection and read on.

--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
 import { readBody } from '@cyclamengate/common/readBody';
+import sendLastJson from '@cyclamengate/common/sendLastJson';
 import { findCaller, findRoute, pickService } from '@cyclamengate/gateway/findRoute';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import type { PlainRelay, RelayedRequest, RelayOutcome } from '@cyclamengate/gateway/newPlainRelay';
@@ -40,7 +41,9 @@
   const refuse = (response: ServerResponse, request: CallerRequest, refusal: Refusal): void => {
     metrics.count(`requests_refused_${refusal.code.replaceAll('-', '_')}`);
     const headers = refusalHeaders(request.requestId, refusal);
-    sendJson(response, refusal.status, { error: refusal.code }, headers);
+    // A host that leaves closes after its answer, also where the body was refused half-way.
+    const send = options.isLeaving() && !response.req.complete ? sendLastJson : sendJson;
+    send(response, refusal.status, { error: refusal.code }, headers);
   };
 
   const noteRefusal = (request: CallerRequest, refusal: Refusal, version?: number): void =>
