--- a/apps/host/tests/endToEnd.process.test.ts
+++ b/apps/host/tests/endToEnd.process.test.ts
@@ -44,6 +44,22 @@
   await close();
 });
 
+test.serial('half an answer without a length never reaches a caller as a whole one', async (t) => {
+  // Guards against truncated answers that callers take for complete ones: an upstream crashes, and
+  // the reset arrives together with the last bytes of an answer without a length.
+  const { platform, first, close } = await newSystem(1);
+  t.teardown(close);
+  for (const { faults } of [...platform.plain, ...platform.plain]) {
+    faults.brokenAnswers = 1;
+    const lookup = await send(first, 'POST', '/lookup/7', { body: 'a whole answer' });
+    t.is(lookup.status, 200);
+    t.is(lookup.body, 'a whole answer');
+  }
+  platform.plain.forEach(({ faults }) => Object.assign(faults, { brokenAnswers: 1 }));
+  const deposit = await send(first, 'POST', '/deposit/7', { body: 'a whole answer' });
+  t.is(deposit.status, 502);
+});
+
 test.serial('a withdrawn key stops working on every host', async (t) => {
   // Guards against a host that still accepts a key which the operator has withdrawn, and against an
   // older version of the settings that restores the key.
--- a/apps/platform-standin/src/newPlainServer.ts
+++ b/apps/platform-standin/src/newPlainServer.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import listenOnLoopback from './listenOnLoopback.js';
 import type { LoopbackServer } from './listenOnLoopback.js';
 import { readBody } from './httpBodies.js';
@@ -6,13 +7,26 @@
 
 export interface PlainServer extends LoopbackServer {
   id: string;
-  faults: { isUnresponsive: boolean; isOverloaded: boolean };
+  faults: {
+    isUnresponsive: boolean;
+    isOverloaded: boolean;
+    /** Number of next answers that have no length and are broken off in the middle by a reset. */
+    brokenAnswers: number;
+  };
   runs: { requestId: string; customer: string | null; key: string | null }[];
 }
 
+/** Sends half of a body without a length; the reset arrives together with the last bytes. */
+const breakOff = ({ socket }: ServerResponse, headers: Record<string, string>, body: Buffer) => {
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+  const head = `HTTP/1.1 200 OK\r\nconnection: close\r\n${lines.join('')}\r\n`;
+  const half = body.subarray(0, Math.ceil(body.length / 2));
+  socket?.write(Buffer.concat([Buffer.from(head), half]), () => socket.resetAndDestroy());
+};
+
 /** An upstream of a plain service; it responds with the request's body. */
 const newPlainServer = async (id: string): Promise<PlainServer> => {
-  const faults = { isUnresponsive: false, isOverloaded: false };
+  const faults = { isUnresponsive: false, isOverloaded: false, brokenAnswers: 0 };
   const runs: PlainServer['runs'] = [];
   const loopback = await listenOnLoopback((request, response) => {
     if (faults.isUnresponsive) return;
@@ -28,12 +42,17 @@
     runs.push({ requestId, customer, key });
     readBody(request).then((body) =>
       setTimeout(() => {
-        response.writeHead(200, {
+        const answerHeaders = {
           'attempt-id': requestId,
           'server-stamp': `${id}.${requestId}`,
           'instance-load': '1,0,6',
-          'content-length': String(body.length),
-        });
+        };
+        if (faults.brokenAnswers > 0) {
+          faults.brokenAnswers -= 1;
+          breakOff(response, answerHeaders, body);
+          return;
+        }
+        response.writeHead(200, { ...answerHeaders, 'content-length': String(body.length) });
         response.end(body);
       }, RESPONSE_DELAY_MS),
     );
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -139,7 +139,7 @@
     return end.type === 'whole' && runSignal.aborted ? interrupted(endReason()) : end;
   } catch (error) {
     if (!(error instanceof TruncatedAnswer)) throw error;
-    return interrupted(endReason(), !signal.aborted);
+    return interrupted(`${endReason()}: ${error.message}`, !signal.aborted);
   } finally {
     idleTimeout.end();
   }
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -112,9 +112,10 @@
       const { answer } = outcome;
       if (answer.load) loads.report(entry.id, answer.load);
       const body = await readAnswerBody(answer);
-      if (body === null) {
-        if (!signal.aborted) health.recordFailure(entry.id, 'answer broken off');
-        return { type: 'failed', reason: 'answer broken off' };
+      if (body.type === 'truncated') {
+        const reason = `answer broken off: ${body.reason}`;
+        if (!signal.aborted) health.recordFailure(entry.id, reason);
+        return { type: 'failed', reason };
       }
       if (answer.status < 300 && answer.signature === null) {
         health.recordFailure(entry.id, 'unsigned answer');
@@ -123,7 +124,7 @@
       health.recordSuccess(entry.id);
       health.recordLatency(entry.id, clock.now() - startedAt);
       const { status, headers, signature } = answer;
-      return { type: 'answer', answer: { status, headers, signature, body } };
+      return { type: 'answer', answer: { status, headers, signature, body: body.bytes } };
     } finally {
       loads.end(entry.id);
     }
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -84,8 +84,8 @@
       if (answer.status >= 300) {
         const body = await readAnswerBody(answer);
         lastReason = `status ${answer.status}`;
-        if (body === null) return 'broken';
-        failure = { answer, body, upstream: entry.id };
+        if (body.type === 'truncated') return 'broken';
+        failure = { answer, body: body.bytes, upstream: entry.id };
         return 'failed';
       }
       try {
