--- a/packages/batches/src/newPeerCalls.ts
+++ b/packages/batches/src/newPeerCalls.ts
@@ -1,10 +1,14 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import sleepWhileResponsive from '@cyclamengate/common/sleepWhileResponsive';
 import { createTRPCClient, httpLink } from '@trpc/client';
 import isListening from './isListening.js';
 import type { PeerRouter } from './peerRouter.js';
 
-/** Delay before the host's reachability is probed; most calls take less. */
+/**
+ * Delay before the host's reachability is probed; most calls take less. Delays and timeouts of calls
+ * leave out the time for which this process could not run.
+ */
 const PROBE_AFTER_MS = 150;
 /** Delay before the call is made a second time, since the connection of the first may be dead. */
 const HEDGE_AFTER_MS = 800;
@@ -60,7 +64,7 @@
     failed: AbortSignal,
     ended: AbortSignal,
   ): Promise<boolean> => {
-    await clock.sleepUntil(clock.now() + PROBE_AFTER_MS, AbortSignal.any([failed, ended]));
+    await sleepWhileResponsive(clock, PROBE_AFTER_MS, AbortSignal.any([failed, ended]));
     if (ended.aborted) return true;
     const isReachable = await isListening(peer.address);
     if (!isReachable) unreachableUntil.set(peer.host, clock.now() + UNREACHABLE_TTL_MS);
@@ -74,7 +78,9 @@
   ): Promise<PeerAnswer<Value>> => {
     const ended = new AbortController();
     const failed = new AbortController();
-    const signal = AbortSignal.any([ended.signal, AbortSignal.timeout(timeoutMs)]);
+    const timedOut = new AbortController();
+    const signal = AbortSignal.any([ended.signal, timedOut.signal]);
+    sleepWhileResponsive(clock, timeoutMs, ended.signal).then(() => timedOut.abort('silent'));
     const startedAt = clock.now();
     let reason = 'silent';
     const run = async (): Promise<Value> => {
@@ -86,9 +92,11 @@
       failed.abort('failed');
       throw error;
     });
-    const second = clock
-      .sleepUntil(startedAt + HEDGE_AFTER_MS, AbortSignal.any([signal, failed.signal]))
-      .then(run);
+    const second = sleepWhileResponsive(
+      clock,
+      HEDGE_AFTER_MS,
+      AbortSignal.any([signal, failed.signal]),
+    ).then(run);
     const reachability = probe(peer, failed.signal, ended.signal);
     const answer: PeerAnswer<Value> = await Promise.race([
       Promise.any([first, second]).then(
