--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -17,6 +17,8 @@
 /** Settings changes must take effect within 2 s; upstreams update their entries every 1.2 s. */
 const SETTINGS_READ_INTERVAL_MS = 40;
 const UPSTREAMS_READ_INTERVAL_MS = 200;
+/** A read that was lost in a network partition holds up the next for this and the store's timeout. */
+const READ_WAIT_MS = 500;
 
 export interface FollowPlatformOptions {
   clock: Clock;
@@ -24,7 +26,7 @@
   store: Store;
   settingsView: SettingsView;
   directory: Directory;
-  /** Factor by which the read interval grows with the number of hosts. */
+  /** Factor by which the time between reads grows with the number of hosts. */
   readIntervalFactor: () => number;
 }
 
@@ -66,12 +68,15 @@
     else log.warn('upstream.unreadable', { upstream: key, problems: entry.val.slice(0, 3) });
   };
 
+  const readWaitMs = (): number => READ_WAIT_MS * readIntervalFactor();
+
   const operatorFollower = newKeyedFollower({
     clock,
     log,
     store,
     topic: OPERATOR_TOPIC,
     readIntervalMs: () => SETTINGS_READ_INTERVAL_MS,
+    readWaitMs,
     apply: applyOperatorRecord,
   });
   const upstreamsFollower = newKeyedFollower({
@@ -80,6 +85,7 @@
     store,
     topic: UPSTREAMS_TOPIC,
     readIntervalMs: () => UPSTREAMS_READ_INTERVAL_MS * readIntervalFactor(),
+    readWaitMs,
     apply: applyUpstream,
     onRecovered: directory.startGracePeriod,
   });
--- a/apps/host/tests/newHosts.ts
+++ b/apps/host/tests/newHosts.ts
@@ -90,7 +90,7 @@
 };
 
 /** Starts hosts as separate processes against a stand-in platform. */
-export const newHosts = async (platform: Platform, domains: string[]) => {
+export const newHosts = async (platform: Platform, domains: string[], program = PROGRAM) => {
   const folder = await mkdtemp(join(tmpdir(), 'cyclamengate-hosts-'));
   const hosts: TestHost[] = [];
 
@@ -119,7 +119,7 @@
       },
     };
     await writeFile(path, stringify(settings));
-    const child = spawn(process.execPath, [PROGRAM, '--settings', path], {
+    const child = spawn(process.execPath, [program, '--settings', path], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     saveLog(child, name);
--- a/packages/common/src/newSystemClock.ts
+++ b/packages/common/src/newSystemClock.ts
@@ -5,21 +5,18 @@
 
 const sleepOnce = (delayMs: number, signal?: AbortSignal): Promise<void> =>
   new Promise((resolve) => {
+    let timer: NodeJS.Timeout | null = null;
+    const finish = (): void => {
+      if (timer) clearTimeout(timer);
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    };
     if (signal?.aborted) {
       resolve();
       return;
     }
-    const listenerController = new AbortController();
-    const timer = setTimeout(() => {
-      // The reason avoids creating an error with a stack trace on every abort.
-      listenerController.abort('over');
-      resolve();
-    }, delayMs);
-    const onAbort = (): void => {
-      clearTimeout(timer);
-      resolve();
-    };
-    signal?.addEventListener('abort', onAbort, { once: true, signal: listenerController.signal });
+    timer = setTimeout(finish, delayMs);
+    signal?.addEventListener('abort', finish);
   });
 
 /** The clock of this machine. */
--- a/packages/store/src/newKeyedFollower.ts
+++ b/packages/store/src/newKeyedFollower.ts
@@ -3,7 +3,6 @@
 import type Store from './Store.js';
 import type { KeyedRecord } from './Store.js';
 
-const READ_WAIT_MS = 500;
 const RETRY_DELAY_MS = 100;
 
 export interface KeyedFollowerOptions {
@@ -13,6 +12,8 @@
   topic: string;
   /** Minimum time between two reads, in milliseconds. */
   readIntervalMs: () => number;
+  /** How long the store holds a read open for new records, in milliseconds. */
+  readWaitMs: () => number;
   /** Called with each newer record of a key; a null value means that the key was deleted. */
   apply: (record: KeyedRecord) => void;
   /** Called when a read succeeds after failed reads. */
@@ -28,7 +29,7 @@
  * deleted.
  */
 const newKeyedFollower = (options: KeyedFollowerOptions) => {
-  const { clock, log, store, topic, readIntervalMs, apply, onRecovered } = options;
+  const { clock, log, store, topic, readIntervalMs, readWaitMs, apply, onRecovered } = options;
   const offsets = new Map<string, number>();
   let next: number | null = null;
   let freshAt = -Infinity;
@@ -62,7 +63,7 @@
 
   const readTail = async (from: number, signal?: AbortSignal): Promise<boolean> => {
     const requestedAt = clock.now();
-    const page = await store.read(topic, from, READ_WAIT_MS, signal);
+    const page = await store.read(topic, from, readWaitMs(), signal);
     if (!page.ok) {
       if (page.val.type !== 'expired') return false;
       log.warn('store.history-gone', { topic, from, first: page.val.first });
--- a/packages/store/tests/followers.test.ts
+++ b/packages/store/tests/followers.test.ts
@@ -80,6 +80,7 @@
     store: memory.newView(),
     topic: 'keyed.servers',
     readIntervalMs: () => 0,
+    readWaitMs: () => 500,
     apply: ({ key, value }) => {
       if (value === null) known.delete(key);
       else known.set(key, value.toString());
