--- a/packages/common/src/newSystemClock.ts
+++ b/packages/common/src/newSystemClock.ts
@@ -2,6 +2,8 @@
 
 /** setTimeout takes a signed 32-bit delay; longer sleeps are split into several timers. */
 const MAX_TIMER_DELAY_MS = 2_000_000_000;
+/** Timers count whole milliseconds, so they may fire this much early. */
+const MAX_TIMER_LEAD_MS = 1;
 
 const sleepOnce = (delayMs: number, signal?: AbortSignal): Promise<void> =>
   new Promise((resolve) => {
@@ -34,7 +36,8 @@
       while (!signal?.aborted) {
         const remainingMs = deadline - this.now();
         if (remainingMs <= 0) return;
-        await sleepOnce(Math.min(Math.ceil(remainingMs), MAX_TIMER_DELAY_MS), signal);
+        const delayMs = Math.ceil(remainingMs) + MAX_TIMER_LEAD_MS;
+        await sleepOnce(Math.min(delayMs, MAX_TIMER_DELAY_MS), signal);
       }
     }
   }
--- a/packages/hosts/src/newLeaseKeeper.ts
+++ b/packages/hosts/src/newLeaseKeeper.ts
@@ -10,6 +10,12 @@
 const MAX_WALL_CLOCK_LEAD_MS = 250;
 /** Also the delay until a free lease is noticed, which adds to the term of three seconds. */
 const CHECK_INTERVAL_MS = 200;
+/**
+ * Hosts from this rank on check less often: they claim only if all hosts before them do not, and an
+ * idle host spends a good part of its processor time on such checks.
+ */
+const FIRST_DISTANT_RANK = 8;
+const DISTANT_CHECK_INTERVAL_MS = 1_000;
 /** Additional delay for each rank, so that hosts do not all claim a free lease at once. */
 const CLAIM_DELAY_PER_RANK_MS = 150;
 /** A holder makes one claim per second, and each is valid for three seconds. */
@@ -123,11 +129,16 @@
     }
   };
 
+  const checkIntervalMs = (): number => {
+    const isDistant = (rank() ?? 0) >= FIRST_DISTANT_RANK && clock.now() >= deadline();
+    return isDistant ? DISTANT_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
+  };
+
   const run = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       invalidateClaimsIfSuspended();
       await step();
-      await clock.sleepUntil(clock.now() + CHECK_INTERVAL_MS, signal);
+      await clock.sleepUntil(clock.now() + checkIntervalMs(), signal);
     }
   };
 
--- a/packages/hosts/tests/leases.test.ts
+++ b/packages/hosts/tests/leases.test.ts
@@ -29,6 +29,8 @@
   let nextOffset = 0;
   let isDisconnected = false;
   let isDelayingWrites = false;
+  let rank = 0;
+  let checks = 0;
   const readAll = (): void => {
     if (isDisconnected) return;
     claims.records
@@ -60,7 +62,10 @@
     incarnation: `${name}-run`,
     termMs: TERM_MS,
     write,
-    rank: () => 0,
+    rank: () => {
+      checks += 1;
+      return rank;
+    },
     isFresh: () => !isDisconnected,
   });
   const running = Promise.all([follow(), keeper.run(stop.signal)]);
@@ -69,6 +74,10 @@
     setDisconnected: (value: boolean): void => {
       isDisconnected = value;
     },
+    setRank: (value: number): void => {
+      rank = value;
+    },
+    checks: (): number => checks,
     setWritesDelayed: (value: boolean): void => {
       isDelayingWrites = value;
     },
@@ -195,3 +204,32 @@
   t.true(leases.isFreeFor(SUBJECT, 'a', 300));
   await Promise.all([first.stop(), second.stop()]);
 });
+
+test('a host that many others precede checks a lease rarely, and still takes it over', async (t) => {
+  // Guards against a fleet of hundreds of hosts that all spend their time on checks of each lease.
+  const { clock, first, second } = newHostPair();
+  second.setRank(20);
+  await clock.advance(2_000);
+  t.not(first.keeper.hold(0), null);
+  const checksBefore = second.checks();
+  await clock.advance(10_000);
+  t.true(second.checks() - checksBefore <= 30);
+  await first.stop();
+  second.setRank(0);
+  await clock.advance(5_000);
+  t.not(second.keeper.hold(0), null);
+  await second.stop();
+});
+
+test('a holder that others have come to precede renews its lease in time', async (t) => {
+  // Guards against a lease that changes hands whenever hosts with a better rank join.
+  const { clock, first, second } = newHostPair();
+  second.setRank(20);
+  await clock.advance(2_000);
+  first.setRank(19);
+  for (let passed = 0; passed < 10_000; passed += 100) {
+    await clock.advance(100);
+    t.not(first.keeper.hold(0), null);
+  }
+  await Promise.all([first.stop(), second.stop()]);
+});
