--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -4,6 +4,7 @@
 import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamAnswer, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
+import readAnswerBody from '@cyclamengate/gateway/readAnswerBody';
 import type { EventReader } from './EventReader.js';
 import type { Progress } from './progress.js';
 
@@ -129,9 +130,12 @@
     }
     const { answer } = outcome;
     if (answer.load) onLoad(answer.load);
-    if (answer.status === 422) return { type: 'impossible' };
-    if (answer.status >= 300) return { type: 'failed', status: answer.status };
-    return readEvents(answer);
+    if (answer.status < 300) return readEvents(answer);
+    // Only a connection whose answer has been read to its end can carry the next request.
+    await readAnswerBody(answer);
+    return answer.status === 422
+      ? { type: 'impossible' }
+      : { type: 'failed', status: answer.status };
   };
 
   try {
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -19,19 +19,32 @@
   progress?: Progress;
   minVersion?: number;
   version?: number | null;
+  status?: number;
 }
 
 const run = async (
   lines: string[],
-  { end = 'whole', progress = newProgress(), minVersion = 1, version = 1 }: RunOptions = {},
+  {
+    end = 'whole',
+    progress = newProgress(),
+    minVersion = 1,
+    version = 1,
+    status = 200,
+  }: RunOptions = {},
 ) => {
   const sent: UpstreamRequest[] = [];
+  const read = { isToEnd: false };
+
+  async function* readAll(): AsyncGenerator<Buffer> {
+    yield* stream(lines, end);
+    read.isToEnd = true;
+  }
 
   class FakeClient extends UpstreamClient {
     async send(_entry: UpstreamEntry, request: UpstreamRequest): Promise<UpstreamOutcome> {
       sent.push(request);
-      const body = stream(lines, end);
-      const head = { status: 200, headers: {}, signature: 's', load: null, isEventStream: true };
+      const body = readAll();
+      const head = { status, headers: {}, signature: 's', load: null, isEventStream: true };
       return { type: 'answer', answer: { ...head, version, body } };
     }
 
@@ -63,7 +76,7 @@
     onLoad: () => {},
     signal: new AbortController().signal,
   });
-  return { outcome, progress, sent };
+  return { outcome, progress, sent, read };
 };
 
 test('a text lists every version that generated one of its events', async (t) => {
@@ -118,3 +131,20 @@
   const { outcome } = await run([eventLine(1, 'a')], { version: null });
   t.is(outcome.type, 'interrupted');
 });
+
+for (const [status, type] of [
+  [500, 'failed'],
+  [422, 'impossible'],
+] as const) {
+  test(`the answer of a run that ends with ${status} is read to its end`, async (t) => {
+    // Guards against a new connection for each failed run: an unread answer blocks its connection.
+    const { outcome, read } = await run(['out of order'], { status });
+    t.is(outcome.type, type);
+    t.true(read.isToEnd);
+  });
+
+  test(`a run that ends with ${status} counts although its answer breaks off`, async (t) => {
+    const { outcome } = await run(['out of'], { status, end: 'broken' });
+    t.is(outcome.type, type);
+  });
+}
