--- /dev/null
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -0,0 +1,102 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
+import type { Health } from '@cyclamengate/engines/newHealth';
+import type { Loads } from '@cyclamengate/engines/newLoads';
+import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
+import type { UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
+import readAnswerBody from './readAnswerBody.js';
+
+/** Timers fire up to 1 ms early, and some fire late. */
+export const TIMER_SLACK_MS = 5;
+/**
+ * An upstream stops at the deadline it was given and reports this a few milliseconds later. Waiting
+ * for that report keeps the connection open and relays an answer that was completed just in time.
+ */
+const DEADLINE_GRACE_MS = 40;
+/** For repeatable requests; others are only abandoned at their deadline. */
+const FIRST_BYTE_TIMEOUT_MS = 1_000;
+
+/** An upstream's answer with its complete body. */
+export interface CompleteAnswer {
+  status: number;
+  headers: Record<string, string>;
+  signature: string | null;
+  body: Buffer;
+}
+
+export interface RelayedRequest extends Omit<UpstreamRequest, 'deadline'> {
+  service: string;
+  isIdempotent: boolean;
+  maxUpstreams: number;
+  deadline: number;
+  /** Minimum delay before a hedged request is sent, in milliseconds. */
+  minHedgeDelayMs?: number;
+}
+
+export interface PlainAttemptOptions {
+  clock: Clock;
+  client: UpstreamClient;
+  health: Health;
+  loads: Loads;
+}
+
+/** Outcome of sending a request to one upstream. */
+export type Attempt =
+  | { type: 'answer'; answer: CompleteAnswer }
+  | { type: 'not-run'; reason: string }
+  | { type: 'failed'; reason: string };
+
+/** When an attempt's answer is given up. */
+export const computeAnswerDeadline = ({ deadline }: RelayedRequest): number =>
+  deadline + DEADLINE_GRACE_MS;
+
+/**
+ * Sends a request to one upstream and reads its complete answer, and records the upstream's load,
+ * health and latency.
+ */
+const newPlainAttempt =
+  ({ clock, client, health, loads }: PlainAttemptOptions) =>
+  async (candidate: Candidate, request: RelayedRequest, signal: AbortSignal): Promise<Attempt> => {
+    const { entry } = candidate;
+    const startedAt = clock.now();
+    const firstByteDeadline = request.isIdempotent
+      ? Math.min(computeAnswerDeadline(request), startedAt + FIRST_BYTE_TIMEOUT_MS)
+      : computeAnswerDeadline(request);
+    loads.begin(entry.id);
+    try {
+      const outcome = await client.send(entry, request, firstByteDeadline, signal);
+      if (outcome.type === 'fault') {
+        const { fault } = outcome;
+        const isUpstreamFailure = fault.type === 'unknown' || fault.isUnreachable;
+        // A caller's deadline that is shorter than the timeout does not indicate a failure.
+        const isShortDeadline =
+          clock.now() >= request.deadline - TIMER_SLACK_MS &&
+          clock.now() < startedAt + FIRST_BYTE_TIMEOUT_MS;
+        if (isUpstreamFailure && !isShortDeadline && !signal.aborted)
+          health.recordFailure(entry.id, fault.reason);
+        return fault.type === 'not-run'
+          ? { type: 'not-run', reason: fault.reason }
+          : { type: 'failed', reason: fault.reason };
+      }
+      const { answer } = outcome;
+      if (answer.load) loads.report(entry.id, answer.load);
+      const body = await readAnswerBody(answer);
+      if (body.type === 'truncated') {
+        const reason = `answer broken off: ${body.reason}`;
+        if (!signal.aborted) health.recordFailure(entry.id, reason);
+        return { type: 'failed', reason };
+      }
+      if (answer.status < 300 && answer.signature === null) {
+        health.recordFailure(entry.id, 'unsigned answer');
+        return { type: 'failed', reason: 'unsigned answer' };
+      }
+      health.recordSuccess(entry.id);
+      health.recordLatency(entry.id, clock.now() - startedAt);
+      const { status, headers, signature } = answer;
+      return { type: 'answer', answer: { status, headers, signature, body: body.bytes } };
+    } finally {
+      loads.end(entry.id);
+    }
+  };
+
+export default newPlainAttempt;
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -1,13 +1,14 @@
-import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import chooseUpstream from '@cyclamengate/engines/chooseUpstream';
-import type { Health } from '@cyclamengate/engines/newHealth';
-import type { Loads } from '@cyclamengate/engines/newLoads';
-import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
-import type { UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import type { Candidates } from './newCandidates.js';
-import readAnswerBody from './readAnswerBody.js';
+import newPlainAttempt, { computeAnswerDeadline, TIMER_SLACK_MS } from './newPlainAttempt.js';
+import type {
+  Attempt,
+  CompleteAnswer,
+  PlainAttemptOptions,
+  RelayedRequest,
+} from './newPlainAttempt.js';
 import { notRun, uncertain } from './refusal.js';
 import type { Refusal } from './refusal.js';
 
@@ -17,58 +18,22 @@
 const HEDGE_LATENCY_FACTOR = 2.5;
 /** Half of the usual latency target of 190 ms; most calls take 45 ms, one in a hundred 180 ms. */
 const MIN_HEDGE_DELAY_MS = 100;
-/** Timers fire up to 1 ms early, and some fire late. */
-const TIMER_SLACK_MS = 5;
-/**
- * An upstream stops at the deadline it was given and reports this a few milliseconds later. Waiting
- * for that report keeps the connection open and relays an answer that was completed just in time.
- */
-const DEADLINE_GRACE_MS = 40;
-/** For repeatable requests; others are only abandoned at their deadline. */
-const FIRST_BYTE_TIMEOUT_MS = 1_000;
-
 /**
  * Time that a redundant attempt gets to finish once the request is answered: it is usually nearly
  * done, and aborting it would close its connection, which the next request needs.
  */
 const REDUNDANT_ATTEMPT_GRACE_MS = 300;
 
-/** An upstream's answer with its complete body. */
-export interface CompleteAnswer {
-  status: number;
-  headers: Record<string, string>;
-  signature: string | null;
-  body: Buffer;
-}
-
 export type RelayOutcome =
   | { type: 'answer'; answer: CompleteAnswer; upstream: string; upstreams: number }
   /** `hasRun` is true if the request may have run at an upstream. */
   | { type: 'refusal'; refusal: Refusal; hasRun: boolean; upstreams: number };
 
-export interface RelayedRequest extends Omit<UpstreamRequest, 'deadline'> {
-  service: string;
-  isIdempotent: boolean;
-  maxUpstreams: number;
-  deadline: number;
-  /** Minimum delay before a hedged request is sent, in milliseconds. */
-  minHedgeDelayMs?: number;
-}
-
-export interface PlainRelayOptions {
-  clock: Clock;
+export interface PlainRelayOptions extends PlainAttemptOptions {
   log: EventLog;
-  client: UpstreamClient;
   candidates: Candidates;
-  health: Health;
-  loads: Loads;
 }
 
-type Attempt =
-  | { type: 'answer'; answer: CompleteAnswer }
-  | { type: 'not-run'; reason: string }
-  | { type: 'failed'; reason: string };
-
 /**
  * Gets a complete answer to a request from the upstreams of a service.
  *
@@ -78,57 +43,8 @@
  * that may not be repeated is only sent to another upstream if it is certain that it has not run.
  */
 const newPlainRelay = (options: PlainRelayOptions) => {
-  const { clock, log, client, candidates, health, loads } = options;
-
-  const computeAnswerDeadline = ({ deadline }: RelayedRequest): number =>
-    deadline + DEADLINE_GRACE_MS;
-
-  const attempt = async (
-    candidate: Candidate,
-    request: RelayedRequest,
-    signal: AbortSignal,
-  ): Promise<Attempt> => {
-    const { entry } = candidate;
-    const startedAt = clock.now();
-    const firstByteDeadline = request.isIdempotent
-      ? Math.min(computeAnswerDeadline(request), startedAt + FIRST_BYTE_TIMEOUT_MS)
-      : computeAnswerDeadline(request);
-    loads.begin(entry.id);
-    try {
-      const outcome = await client.send(entry, request, firstByteDeadline, signal);
-      if (outcome.type === 'fault') {
-        const { fault } = outcome;
-        const isUpstreamFailure = fault.type === 'unknown' || fault.isUnreachable;
-        // A caller's deadline that is shorter than the timeout does not indicate a failure.
-        const isShortDeadline =
-          clock.now() >= request.deadline - TIMER_SLACK_MS &&
-          clock.now() < startedAt + FIRST_BYTE_TIMEOUT_MS;
-        if (isUpstreamFailure && !isShortDeadline && !signal.aborted)
-          health.recordFailure(entry.id, fault.reason);
-        return fault.type === 'not-run'
-          ? { type: 'not-run', reason: fault.reason }
-          : { type: 'failed', reason: fault.reason };
-      }
-      const { answer } = outcome;
-      if (answer.load) loads.report(entry.id, answer.load);
-      const body = await readAnswerBody(answer);
-      if (body.type === 'truncated') {
-        const reason = `answer broken off: ${body.reason}`;
-        if (!signal.aborted) health.recordFailure(entry.id, reason);
-        return { type: 'failed', reason };
-      }
-      if (answer.status < 300 && answer.signature === null) {
-        health.recordFailure(entry.id, 'unsigned answer');
-        return { type: 'failed', reason: 'unsigned answer' };
-      }
-      health.recordSuccess(entry.id);
-      health.recordLatency(entry.id, clock.now() - startedAt);
-      const { status, headers, signature } = answer;
-      return { type: 'answer', answer: { status, headers, signature, body: body.bytes } };
-    } finally {
-      loads.end(entry.id);
-    }
-  };
+  const { clock, log, candidates } = options;
+  const attempt = newPlainAttempt(options);
 
   const computeHedgeDelayMs = (
     { latencyMs }: Candidate,
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -10,7 +10,8 @@
 import type { UpstreamAnswer } from '@cyclamengate/engines/UpstreamClient';
 import type { Candidates } from './newCandidates.js';
 import newEventSplitter from './newEventSplitter.js';
-import type { RelayedRequest, RelayOutcome } from './newPlainRelay.js';
+import type { RelayedRequest } from './newPlainAttempt.js';
+import type { RelayOutcome } from './newPlainRelay.js';
 import readAnswerBody from './readAnswerBody.js';
 import { notRun, uncertain } from './refusal.js';
 
--- a/packages/gateway/tests/helpers.ts
+++ b/packages/gateway/tests/helpers.ts
@@ -7,7 +7,7 @@
 import type { UpstreamOutcome, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
 import newCandidates from '../src/newCandidates.js';
-import type { RelayedRequest } from '../src/newPlainRelay.js';
+import type { RelayedRequest } from '../src/newPlainAttempt.js';
 
 export const silentLog = { info: () => {}, warn: () => {}, error: () => {} };
 
