--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -5,7 +5,7 @@
 import type { Item } from '@cyclamengate/batches/batchRecord';
 import storeBatch from '@cyclamengate/batches/storeBatch';
 import type { BatchWriter } from '@cyclamengate/batches/newBatchWriter';
-import type { BatchState } from '@cyclamengate/batches/newBatches';
+import type { BatchState } from '@cyclamengate/batches/newBatchState';
 import newResultPages from '@cyclamengate/batches/newResultPages';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
--- a/packages/batches/src/newAssignment.ts
+++ b/packages/batches/src/newAssignment.ts
@@ -1,5 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
-import type { BatchState } from './newBatches.js';
+import type { BatchState } from './newBatchState.js';
 import type { Takeovers } from './newTakeovers.js';
 
 /**
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -7,75 +7,17 @@
   BatchHead,
   BatchRecord,
   Item,
-  ItemHead,
   ItemResult,
-  TextPlace,
 } from './batchRecord.js';
 import mapById from './mapById.js';
-import { newItemHead } from './newBatchHead.js';
+import newBatchState from './newBatchState.js';
+import type { BatchState, EarlierText } from './newBatchState.js';
 import type { PartialTexts } from './newPartialTexts.js';
 import type { BatchExecutor } from './peerRouter.js';
-import type { Progress } from './progress.js';
 
 /** A host that takes a batch over writes its record within this time, unless it dies. */
 const TAKEOVER_RECORD_GRACE_MS = 2_000;
 
-/** A batch and its state as known to this host. */
-export interface BatchState {
-  batch: Omit<Batch, 'type' | 'items'>;
-  items: Map<string, ItemHead>;
-  /** Items with their requests; null if this host has not read them or no longer needs them. */
-  requests: Map<string, Item> | null;
-  /**
-   * Location of the items with their requests in the store; null while the store does not have
-   * them.
-   */
-  requestsPlace: TextPlace | null;
-  /** In log order, which defines the position of each result. */
-  results: ItemResult[];
-  finished: Set<string>;
-  isEnded: boolean;
-  /**
-   * Whether the store is known to have the batch; a batch that this host began without the store is
-   * not shown to callers.
-   */
-  isLogged: boolean;
-  /** Whether the head of the batch is in the log, so that records written from now on follow it. */
-  isStored: boolean;
-  /**
-   * Whether this host began the batch before the store had it, or took it over from another host.
-   */
-  isBegunHere: boolean;
-  /**
-   * This host has handed the batch over, and until its view reaches this time on the monotonic
-   * clock the log may lack the record of the new host. Afterwards only the log counts: the new host
-   * may have died before it could write the record, and no host would run the batch again.
-   */
-  handedOverUntil: number;
-  /**
-   * Host that began the batch or took it over, according to the log; `readAt` is on the monotonic
-   * clock.
-   */
-  executor: { host: string; incarnation: string; readAt: number } | null;
-  /**
-   * Time on the monotonic clock at which another host was reported to have begun the batch, or at
-   * which the batch was added after such a report; the log may still lack the record of that host.
-   */
-  executorReportedAt: number;
-  /** Time on the monotonic clock after which this host evicts the batch. */
-  evictAt: number;
-}
-
-/** Text of an item that was generated under any batch. */
-export interface EarlierText {
-  /** Digest of the request that the text answers. */
-  digest: string;
-  progress: Progress;
-  isComplete: boolean;
-  /** Location of the complete text in the store; the progress has no events then. */
-  place: TextPlace | null;
-}
-
 export interface BatchesOptions {
   clock: Clock;
   /** Time for which batches can be read after they were accepted, in milliseconds. */
@@ -98,26 +40,16 @@
   let onAccepted = (_batch: BatchState['batch']): void => {};
   const listeners = new Set<(state: BatchState) => void>();
 
+  const computeEvictionTime = ({ acceptedAt }: Batch | BatchHead): number => {
+    const ageMs = Math.max(0, clock.wallTime() - acceptedAt);
+    return clock.now() + Math.max(0, retentionMs - ageMs) + retentionMs / 2;
+  };
+
   const add = (batch: Batch | BatchHead, isLogged: boolean): BatchState => {
-    const age = Math.max(0, clock.wallTime() - batch.acceptedAt);
-    const hasRequests = batch.type === 'batch';
-    const state: BatchState = {
-      batch,
-      items: mapById(hasRequests ? batch.items.map(newItemHead) : batch.items),
-      requests: hasRequests ? mapById(batch.items) : null,
-      requestsPlace: hasRequests ? null : batch.requests,
-      results: [],
-      finished: new Set(),
-      isEnded: false,
-      isLogged,
-      isStored: isLogged,
-      isBegunHere: !isLogged,
-      handedOverUntil: -Infinity,
-      executor: null,
+    const state = newBatchState(batch, isLogged, {
       executorReportedAt: reportedExecutors.has(batch.id) ? clock.now() : -Infinity,
-      evictAt:
-        clock.now() + Math.max(0, retentionMs - Math.min(age, retentionMs)) + retentionMs / 2,
-    };
+      evictAt: computeEvictionTime(batch),
+    });
     states.set(batch.id, state);
     return state;
   };
--- a/packages/batches/src/newHandover.ts
+++ b/packages/batches/src/newHandover.ts
@@ -1,5 +1,5 @@
 import type { Handover } from './batchRecord.js';
-import type { BatchState } from './newBatches.js';
+import type { BatchState } from './newBatchState.js';
 import newPart from './newPart.js';
 import type { ItemTask } from './newTaskList.js';
 
--- a/packages/batches/src/newHandoverSender.ts
+++ b/packages/batches/src/newHandoverSender.ts
@@ -1,7 +1,8 @@
 import groupBy from '@cyclamengate/common/groupBy';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Handover } from './batchRecord.js';
-import type { Batches, BatchState } from './newBatches.js';
+import type { Batches } from './newBatches.js';
+import type { BatchState } from './newBatchState.js';
 import newHandover from './newHandover.js';
 import type { PartSaver } from './newPartSaver.js';
 import type { ItemTask, TaskList } from './newTaskList.js';
--- a/packages/batches/src/newItemFinisher.ts
+++ b/packages/batches/src/newItemFinisher.ts
@@ -3,7 +3,7 @@
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { ItemResult, TextPlace } from './batchRecord.js';
 import type { ItemScorer } from './newItemScorer.js';
-import type { BatchState } from './newBatches.js';
+import type { BatchState } from './newBatchState.js';
 import type { ItemOutcome, ItemTask } from './newTaskList.js';
 
 /**
--- a/packages/batches/src/newRequestReader.ts
+++ b/packages/batches/src/newRequestReader.ts
@@ -5,7 +5,7 @@
 import { itemSchema } from './batchRecord.js';
 import type { Item, TextPlace } from './batchRecord.js';
 import mapById from './mapById.js';
-import type { BatchState } from './newBatches.js';
+import type { BatchState } from './newBatchState.js';
 import type { Texts } from './newTexts.js';
 
 /** The requests of a step are about 150 KB and are read in tens of milliseconds. */
--- a/packages/batches/src/newRunEndHandler.ts
+++ b/packages/batches/src/newRunEndHandler.ts
@@ -4,7 +4,7 @@
 import type { Notifier } from '@cyclamengate/common/newNotifier';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
-import type { BatchState } from './newBatches.js';
+import type { BatchState } from './newBatchState.js';
 import type { ItemFinisher } from './newItemFinisher.js';
 import type { Refusals } from './newRefusals.js';
 import type { ItemTask } from './newTaskList.js';
--- a/packages/batches/src/newTaskList.ts
+++ b/packages/batches/src/newTaskList.ts
@@ -1,7 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Item, ItemHead, ItemResult, TextPlace } from './batchRecord.js';
-import type { BatchState, EarlierText } from './newBatches.js';
+import type { BatchState, EarlierText } from './newBatchState.js';
 import type { WaitingItem } from './planStarts.js';
 import { meetsMinVersion, newProgress } from './progress.js';
 import type { Progress } from './progress.js';
