--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -6,7 +6,6 @@
   BatchChange,
   BatchHead,
   BatchRecord,
-  Item,
   ItemResult,
 } from './batchRecord.js';
 import mapById from './mapById.js';
