--- a/apps/host/src/newDuties.ts
+++ b/apps/host/src/newDuties.ts
@@ -1,4 +1,4 @@
-import type { Connections } from '@cyclamengate/adapter/newConnections';
+import type { Connections } from '@cyclamengate/upstreams/newConnections';
 import newHttpUpstreamOrders from '@cyclamengate/adapter/newHttpUpstreamOrders';
 import newHttpUsageReports from '@cyclamengate/adapter/newHttpUsageReports';
 import newHttpWeightOrders from '@cyclamengate/adapter/newHttpWeightOrders';
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -1,4 +1,4 @@
-import newConnections from '@cyclamengate/adapter/newConnections';
+import newConnections from '@cyclamengate/upstreams/newConnections';
 import newHttpStore from '@cyclamengate/adapter/newHttpStore';
 import newHttpUpstreamClient from '@cyclamengate/adapter/newHttpUpstreamClient';
 import newSseReader from '@cyclamengate/adapter/newSseReader';
--- a/packages/upstreams/src/newHttpPlainService.ts
+++ b/packages/upstreams/src/newHttpPlainService.ts
@@ -1,24 +1,18 @@
 import { Err, Ok } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
-import { Agent, Client } from 'undici';
 import type { Dispatcher } from 'undici';
+import hasLength from './hasLength.js';
+import newConnections from './newConnections.js';
 import { toUpstreamFault } from './newHttpModelEngine.js';
 import PlainService from './PlainService.js';
 import type { ServiceAnswer, ServiceCall } from './serviceCall.js';
 import type { UpstreamFault } from './upstreamFault.js';
 
-const CONNECT_TIMEOUT_MS = 500;
 const ANSWER_TIMEOUT_MS = 10_000;
+const HTTP_PORT = 80;
 /** Status with which an upstream answers a call that it has not run. */
 const NOT_RUN_STATUS = 503;
 
-const CONNECTION_OPTIONS = {
-  connect: { timeout: CONNECT_TIMEOUT_MS },
-  headersTimeout: ANSWER_TIMEOUT_MS,
-  bodyTimeout: ANSWER_TIMEOUT_MS,
-  pipelining: 1,
-};
-
 const requestOptions = (
   { requestId, customer, method, path, contentType, body }: ServiceCall,
   signal: AbortSignal,
@@ -26,6 +20,8 @@
   method,
   path,
   signal,
+  headersTimeout: ANSWER_TIMEOUT_MS,
+  bodyTimeout: ANSWER_TIMEOUT_MS,
   headers: {
     'x-request-id': requestId,
     'x-customer': customer,
@@ -42,22 +38,7 @@
 
 /** Client of plain services over HTTP. */
 const newHttpPlainService = (): PlainService => {
-  const agent = new Agent(CONNECTION_OPTIONS);
-
-  const send = async (
-    url: string,
-    dispatcher: Dispatcher,
-    call: ServiceCall,
-    signal: AbortSignal,
-  ): Promise<Result<ServiceAnswer, UpstreamFault>> => {
-    try {
-      const answer = await dispatcher.request({ origin: url, ...requestOptions(call, signal) });
-      const serviceAnswer = await readAnswer(answer);
-      return serviceAnswer.status === NOT_RUN_STATUS ? Err('refused') : Ok(serviceAnswer);
-    } catch (error) {
-      return Err(toUpstreamFault(error, signal));
-    }
-  };
+  const connections = newConnections();
 
   class HttpPlainService extends PlainService {
     async call(
@@ -66,11 +47,25 @@
       needsFreshConnection: boolean,
       signal: AbortSignal,
     ): Promise<Result<ServiceAnswer, UpstreamFault>> {
-      if (!needsFreshConnection) return send(url, agent, call, signal);
-      const client = new Client(url, CONNECTION_OPTIONS);
-      const answer = await send(url, client, call, signal);
-      await client.destroy();
-      return answer;
+      const { hostname, port } = new URL(url);
+      const connection = connections.acquire(
+        url,
+        hostname,
+        Number(port || HTTP_PORT),
+        needsFreshConnection,
+      );
+      try {
+        const answer = await connection.client.request(requestOptions(call, signal));
+        const serviceAnswer = await readAnswer(answer);
+        const isComplete = hasLength(call.method, answer) || connection.isClosedByUpstream();
+        if (isComplete) connections.release(url, connection);
+        else connection.discard();
+        if (!isComplete) return Err('broken');
+        return serviceAnswer.status === NOT_RUN_STATUS ? Err('refused') : Ok(serviceAnswer);
+      } catch (error) {
+        connection.discard();
+        return Err(toUpstreamFault(error, signal));
+      }
     }
   }
   return new HttpPlainService();
