--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -19,6 +19,7 @@
 import newDirectory from '@cyclamengate/engines/newDirectory';
 import newHealth from '@cyclamengate/engines/newHealth';
 import newLoads from '@cyclamengate/engines/newLoads';
+import newObservedClient from '@cyclamengate/engines/newObservedClient';
 import { pickService } from '@cyclamengate/gateway/findRoute';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import newCandidates from '@cyclamengate/gateway/newCandidates';
@@ -81,7 +82,11 @@
   });
   loads.setRemoteLoads(coordination.runningElsewhere);
   const connections = newConnections();
-  const client = newHttpUpstreamClient(clock, connections);
+  const client = newObservedClient({
+    log,
+    metrics,
+    client: newHttpUpstreamClient(clock, connections),
+  });
   const candidates = newCandidates({
     directory,
     health,
--- a/packages/batches/src/newPeerCalls.ts
+++ b/packages/batches/src/newPeerCalls.ts
@@ -1,8 +1,8 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import probeAddress from '@cyclamengate/common/probeAddress';
 import sleepWhileResponsive from '@cyclamengate/common/sleepWhileResponsive';
 import { createTRPCClient, httpLink } from '@trpc/client';
-import isListening from './isListening.js';
 import type { PeerRouter } from './peerRouter.js';
 
 /**
@@ -66,7 +66,7 @@
   ): Promise<boolean> => {
     await sleepWhileResponsive(clock, PROBE_AFTER_MS, AbortSignal.any([failed, ended]));
     if (ended.aborted) return true;
-    const isReachable = await isListening(peer.address);
+    const isReachable = (await probeAddress(peer.address)) === 'listening';
     if (!isReachable) unreachableUntil.set(peer.host, clock.now() + UNREACHABLE_TTL_MS);
     return isReachable;
   };
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -77,6 +77,10 @@
       };
     }
 
+    async hasEnded(): Promise<boolean> {
+      return false;
+    }
+
     isConnected(): boolean {
       return true;
     }
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -48,6 +48,10 @@
       return { type: 'answer', answer: { ...head, version, body } };
     }
 
+    async hasEnded(): Promise<boolean> {
+      return false;
+    }
+
     isConnected(): boolean {
       return true;
     }
--- a/packages/engines/src/UpstreamClient.ts
+++ b/packages/engines/src/UpstreamClient.ts
@@ -65,6 +65,12 @@
   /** Whether a connection to the upstream is open and can take a request. */
   abstract isConnected(entry: UpstreamEntry): boolean;
 
+  /**
+   * Whether an upstream has ended: its machine responds, and no process listens at its address.
+   * False if this cannot be told, as behind a network partition.
+   */
+  abstract hasEnded(entry: UpstreamEntry): Promise<boolean>;
+
   /** Closes all connections to an upstream that has been removed. */
   abstract closeConnections(entry: UpstreamEntry): void;
 }
--- a/packages/engines/src/newHealth.ts
+++ b/packages/engines/src/newHealth.ts
@@ -50,11 +50,14 @@
     recordSuccess: (id: string): void => {
       getOrCreate(id).failures = 0;
     },
+    /** Logs the first, second, fourth … consecutive failure. */
     recordFailure: (id: string, reason: string): void => {
       const record = getOrCreate(id);
       const backoffMs = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** record.failures);
       record.failures += 1;
       record.backoffUntil = Math.max(record.backoffUntil, clock.now() + backoffMs);
+      // While all upstreams of a service are down, each of them fails hundreds of times a second.
+      if (!Number.isInteger(Math.log2(record.failures))) return;
       log.warn('upstream.failed', {
         upstream: id,
         reason,
--- a/packages/gateway/tests/helpers.ts
+++ b/packages/gateway/tests/helpers.ts
@@ -83,6 +83,10 @@
       return (behaviours[entry.id] ?? refusing)(request, signal);
     }
 
+    async hasEnded(): Promise<boolean> {
+      return false;
+    }
+
     isConnected(): boolean {
       return true;
     }
