--- /dev/null
+++ b/apps/host/tests/deadlyRequest.process.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava';
+import { batchBody, readPage, submit } from './batchHelpers.js';
+import { send, waitUntil } from './newHosts.js';
+import { newSystem } from './testSystem.js';
+
+const DEADLY_BODY = 'prompt 0';
+/** Upstreams that may end under one request before it counts as the cause, and retries after that. */
+const MAX_ENDED = 3;
+const MAX_RETRIES = 3;
+const ROUNDS = 8;
+/** Longer than a crashed upstream of the stand-in is down. */
+const ROUND_MS = 500;
+
+const sleep = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+test.serial(
+  'a request that ends each upstream that runs it is stopped at every host',
+  async (t) => {
+    // Guards against one request that takes down a service for all callers, again at each host to
+    // which its caller sends it.
+    const { platform, first, second, third, close } = await newSystem(1);
+    t.teardown(close);
+    platform.plain.forEach(({ faults }) => Object.assign(faults, { deadlyBody: DEADLY_BODY }));
+    const endedCount = (): number =>
+      platform.plain.reduce((sum, { crashCount }) => sum + crashCount(), 0);
+    const runCount = (id: string): number =>
+      platform.plain.flatMap(({ runs }) => runs).filter(({ requestId }) => requestId === id).length;
+    for (let round = 0; round < ROUNDS; round += 1) {
+      for (const [index, host] of [first, second, third].entries()) {
+        const path = round % 2 === 0 ? '/lookup/9' : '/deposit/9';
+        const id = `deadly-${round}-${index}`;
+        const { status } = await send(host, 'POST', path, { id, body: DEADLY_BODY });
+        t.true(status === 502 || status === 503, `status ${status}`);
+        if (status === 503) t.is(runCount(id), 0);
+      }
+      await sleep(ROUND_MS);
+      const innocent = await send(second, 'POST', '/lookup/9', { id: `other-${round}`, body: 'x' });
+      t.is(innocent.status, 200);
+    }
+    // Lookups and deposits are two requests.
+    t.true(endedCount() <= 2 * (MAX_ENDED + MAX_RETRIES), `${endedCount()} upstreams ended`);
+  },
+);
+
+/** A batch in which one item crashes engines, and the scoring call of another crashes upstreams. */
+const deadlyBatchBody = (): string => {
+  const batch = JSON.parse(batchBody('b1', 3, 4)) as { entries: { scorer: { body: string } }[] };
+  const [, second] = batch.entries;
+  if (second) second.scorer.body = Buffer.from(DEADLY_BODY).toString('base64');
+  return JSON.stringify(batch);
+};
+
+test.serial(
+  'an item that ends each engine that runs it is stopped, and others finish',
+  async (t) => {
+    // Guards against one item of a step, or one scoring call, that takes down all upstreams in turn.
+    const { platform, first, second, close } = await newSystem();
+    t.teardown(close);
+    const servers = [...platform.engines, ...platform.plain];
+    servers.forEach(({ faults }) => Object.assign(faults, { deadlyBody: DEADLY_BODY }));
+    t.is((await submit(first, 'b1', deadlyBatchBody())).status, 202);
+    const countResults = async (): Promise<number> =>
+      (await readPage(second, 'b1').catch(() => null))?.results.length ?? 0;
+    await waitUntil(async () => (await countResults()) === 10);
+    await sleep(ROUNDS * ROUND_MS);
+    t.is(await countResults(), 10);
+    [platform.engines, platform.plain].forEach((group) => {
+      const endedCount = group.reduce((sum, { crashCount }) => sum + crashCount(), 0);
+      t.true(endedCount <= MAX_ENDED + MAX_RETRIES, `${endedCount} upstreams ended`);
+    });
+  },
+);
--- a/apps/platform-standin/src/listenOnLoopback.ts
+++ b/apps/platform-standin/src/listenOnLoopback.ts
@@ -9,23 +9,40 @@
   address: string;
   /** Closes the server and its open connections. */
   close: () => Promise<void>;
+  /** Breaks all connections off and refuses new ones until the server starts again. */
+  crash: () => void;
+  /** Number of crashes so far. */
+  crashCount: () => number;
 }
 
+/** Time for which a crashed server is down. */
+const RESTART_DELAY_MS = 250;
+
 /** Starts an HTTP server on a free loopback port. */
 const listenOnLoopback = async (
-  handle: (request: IncomingMessage, response: ServerResponse) => void,
+  handle: (request: IncomingMessage, response: ServerResponse, crash: () => void) => void,
 ): Promise<LoopbackServer> => {
-  const server = createServer(handle);
+  const server = createServer();
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
+  let crashes = 0;
+  let restartTimer: NodeJS.Timeout | undefined;
   const close = (): Promise<void> =>
     new Promise((resolve) => {
+      clearTimeout(restartTimer);
       server.close(() => resolve());
       server.closeAllConnections();
     });
-  return { server, address: `127.0.0.1:${port}`, close };
+  const crash = (): void => {
+    crashes += 1;
+    server.close();
+    server.closeAllConnections();
+    restartTimer = setTimeout(() => server.listen(port, '127.0.0.1'), RESTART_DELAY_MS);
+  };
+  server.on('request', (request, response) => handle(request, response, crash));
+  return { server, address: `127.0.0.1:${port}`, close, crash, crashCount: () => crashes };
 };
 
 export default listenOnLoopback;
--- a/apps/platform-standin/src/newEngineServer.ts
+++ b/apps/platform-standin/src/newEngineServer.ts
@@ -16,6 +16,8 @@
   slowdownFactor: number;
   /** Responses carry the id of another request. */
   hasWrongAttemptId: boolean;
+  /** A request with this body crashes the engine after its first event. */
+  deadlyBody: string | null;
 }
 
 /** A request that this engine ran. */
@@ -53,6 +55,7 @@
     resetAfterEvents: null,
     slowdownFactor: 1,
     hasWrongAttemptId: false,
+    deadlyBody: null,
   };
   const versions = new Map(models.map((model) => [model, 1]));
   const loading = new Set<string>();
@@ -92,6 +95,7 @@
   const handleGeneration = async (
     request: IncomingMessage,
     response: ServerResponse,
+    crash: () => void,
   ): Promise<void> => {
     const { headers } = request;
     const requestId = headerText(headers['attempt-id']);
@@ -132,6 +136,10 @@
       const versionField = currentVersion === version ? '' : `weight-versions: ${currentVersion}\n`;
       version = currentVersion;
       response.write(`${versionField}id: ${event}\ndata: ${requestId}/${event}\n\n`);
+      if (body.toString() === faults.deadlyBody) {
+        crash();
+        return;
+      }
     }
     response.end();
   };
@@ -139,6 +147,7 @@
   const handleRequest = async (
     request: IncomingMessage,
     response: ServerResponse,
+    crash: () => void,
   ): Promise<void> => {
     if (faults.isUnresponsive) return;
     const expected = request.headers['expect-instance'];
@@ -147,11 +156,11 @@
       response.end();
     } else if (request.url === '/v1/report') sendJson(response, 200, { seq: acceptedOrders });
     else if (request.url === '/v1/order') await handleWeightOrder(request, response);
-    else await handleGeneration(request, response);
+    else await handleGeneration(request, response, crash);
   };
 
-  const loopback = await listenOnLoopback((request, response) => {
-    handleRequest(request, response).catch(() => response.destroy());
+  const loopback = await listenOnLoopback((request, response, crash) => {
+    handleRequest(request, response, crash).catch(() => response.destroy());
   });
   return { ...loopback, id, faults, runs, orders, versions };
 };
--- a/apps/platform-standin/src/newPlainServer.ts
+++ b/apps/platform-standin/src/newPlainServer.ts
@@ -12,6 +12,8 @@
     isOverloaded: boolean;
     /** Number of next answers that have no length and are broken off in the middle by a reset. */
     brokenAnswers: number;
+    /** A request with this body crashes the server. */
+    deadlyBody: string | null;
   };
   runs: { requestId: string; customer: string | null; key: string | null }[];
 }
@@ -26,9 +28,14 @@
 
 /** An upstream of a plain service; it responds with the request's body. */
 const newPlainServer = async (id: string): Promise<PlainServer> => {
-  const faults = { isUnresponsive: false, isOverloaded: false, brokenAnswers: 0 };
+  const faults: PlainServer['faults'] = {
+    isUnresponsive: false,
+    isOverloaded: false,
+    brokenAnswers: 0,
+    deadlyBody: null,
+  };
   const runs: PlainServer['runs'] = [];
-  const loopback = await listenOnLoopback((request, response) => {
+  const loopback = await listenOnLoopback((request, response, crash) => {
     if (faults.isUnresponsive) return;
     if (faults.isOverloaded) {
       response.writeHead(503, { 'not-executed': '1', 'content-length': '0' });
@@ -47,6 +54,10 @@
           'server-stamp': `${id}.${requestId}`,
           'instance-load': '1,0,6',
         };
+        if (body.toString() === faults.deadlyBody) {
+          crash();
+          return;
+        }
         if (faults.brokenAnswers > 0) {
           faults.brokenAnswers -= 1;
           breakOff(response, answerHeaders, body);
--- a/apps/platform-standin/src/newPlatform.ts
+++ b/apps/platform-standin/src/newPlatform.ts
@@ -96,15 +96,16 @@
   }
 
   const putServerEntry = (id: string, fields: Record<string, unknown>): void => {
-    const entry = { version: 'v1', state: 'ready', 'cold-remaining-ms': 0, born: 1, ...fields };
+    const entry = { version: 'v1', state: 'ready', 'cold-remaining-ms': 0, ...fields };
     memory.put('keyed.servers', [encodeKeyedBody(id, JSON.stringify(entry))]);
   };
 
   const putServerEntries = (): void => {
     engines
       .filter(({ isListed }) => isListed)
-      .forEach(({ id, address, domain, versions }) =>
+      .forEach(({ id, address, domain, versions, crashCount }) =>
         putServerEntry(id, {
+          born: 1 + crashCount(),
           service: 'models',
           address,
           zone: domain,
@@ -112,8 +113,14 @@
           models: [...versions].map(([name, version]) => ({ name, version, adapters: [] })),
         }),
       );
-    plain.forEach(({ id, address, domain }) =>
-      putServerEntry(id, { service: 'portal', address, zone: domain, slots: 6 }),
+    plain.forEach(({ id, address, domain, crashCount }) =>
+      putServerEntry(id, {
+        born: 1 + crashCount(),
+        service: 'portal',
+        address,
+        zone: domain,
+        slots: 6,
+      }),
     );
   };
 
