Requests that end upstreams are held back on every host

Change: all requests go to upstreams through one guard (newCrashGuard), so callers' requests, streams, items and scoring calls are covered alike. An upstream counts as ended under a request if its address refuses right after, or a successor is listed there within 5 s, and if it was not leaving; a lost answer or a reset is no evidence. From the second end on the request is held for 1, 5, 25, ... s, then tried once; a request that is answered is forgotten. Every host knows: ends go to a keyed topic of the store, which a host reads that starts later, and between peers while a host does not read the store. A held request of a caller is refused with 503, not run, and the time to come back; an item waits. After a broken run no hedged request is sent.

--- /dev/null
+++ b/apps/host/src/newCrashSharing.ts
@@ -0,0 +1,115 @@
+import type { Peers } from '@cyclamengate/batches/newPeers';
+import { MAX_EXCHANGED_CRASHES } from '@cyclamengate/batches/peerRouter';
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import parseRecord from '@cyclamengate/common/parseRecord';
+import { restore } from '@cyclamengate/common/restore';
+import type { CrashHistory } from '@cyclamengate/engines/newCrashHistory';
+import { upstreamCrashSchema } from '@cyclamengate/engines/upstreamCrash';
+import type { UpstreamCrash } from '@cyclamengate/engines/upstreamCrash';
+import newKeyedFollower from '@cyclamengate/store/newKeyedFollower';
+import newStoreWriter from '@cyclamengate/store/newStoreWriter';
+import type Store from '@cyclamengate/store/Store';
+import type { KeyedRecord } from '@cyclamengate/store/Store';
+
+/** The store retains the newest record of each key, so hosts that start later learn of a crash too. */
+const TOPIC = 'keyed.crashes';
+const READ_INTERVAL_MS = 100;
+/** There are mostly no crashes, so most reads end by this timeout. */
+const READ_WAIT_MS = 2_000;
+/** Covers an outage of the store. */
+const WRITE_TIMEOUT_MS = 30_000;
+const EXCHANGE_INTERVAL_MS = 500;
+const EXPIRY_INTERVAL_MS = 30_000;
+
+export interface CrashSharingOptions {
+  clock: Clock;
+  log: EventLog;
+  store: Store;
+  incarnation: string;
+  history: CrashHistory;
+  peers: Pick<Peers, 'exchangeCrashes'>;
+  /** Whether this host reads the store. */
+  isFresh: () => boolean;
+  /** Whether this host deletes the expired records. */
+  isOwner: () => boolean;
+  /** Factor by which the time between reads grows with the number of hosts. */
+  readIntervalFactor: () => number;
+}
+
+const formatKey = ({ digest, upstream }: UpstreamCrash): string => `${digest}/${upstream}`;
+
+/**
+ * Shares with all hosts which requests ran on upstreams that ended: through the store, and directly
+ * with peers while this host does not reach it, since the caller of such a request may send it to
+ * any host.
+ */
+const newCrashSharing = (options: CrashSharingOptions) => {
+  const { clock, log, store, incarnation, history, peers, isFresh, isOwner } = options;
+  const writer = newStoreWriter({ clock, log, store, topic: TOPIC, producer: incarnation });
+
+  const write = async (crashes: UpstreamCrash[], isDeletion: boolean): Promise<void> => {
+    const records = crashes.map((crash) =>
+      store.encodeKeyed(formatKey(crash), isDeletion ? null : Buffer.from(JSON.stringify(crash))),
+    );
+    const outcome = await writer.write(records, clock.now() + WRITE_TIMEOUT_MS);
+    if (outcome !== 'written') log.warn('crashes.unwritten', { count: records.length, outcome });
+  };
+
+  const addReceived = (crash: UpstreamCrash, from: 'store' | 'peer'): void => {
+    if (history.merge(crash)) log.info('crash.received', { ...crash, from });
+  };
+
+  const apply = ({ key, value, offset }: KeyedRecord): void => {
+    if (value === null) {
+      const [digest = '', upstream = ''] = key.split('/');
+      history.remove(digest, upstream);
+      return;
+    }
+    const crash = restore(upstreamCrashSchema, parseRecord(value));
+    if (crash.ok) addReceived(crash.val, 'store');
+    else log.warn('record.unreadable', { topic: TOPIC, offset, problems: crash.val.slice(0, 3) });
+  };
+
+  const follower = newKeyedFollower({
+    clock,
+    log,
+    store,
+    topic: TOPIC,
+    readIntervalMs: () => READ_INTERVAL_MS * options.readIntervalFactor(),
+    readWaitMs: () => READ_WAIT_MS * options.readIntervalFactor(),
+    apply,
+  });
+
+  /** Without the store, each host passes what it knows on to some others. */
+  const exchange = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      const next = clock.now() + EXCHANGE_INTERVAL_MS;
+      if (!isFresh()) {
+        const received = await peers.exchangeCrashes(history.newest(MAX_EXCHANGED_CRASHES));
+        received.forEach((crash) => addReceived(crash, 'peer'));
+      }
+      await clock.sleepUntil(next, signal);
+    }
+  };
+
+  const expire = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      await clock.sleepUntil(clock.now() + EXPIRY_INTERVAL_MS, signal);
+      const expired = history.forgetExpired();
+      if (expired.length > 0 && isOwner()) await write(expired, true);
+    }
+  };
+
+  return {
+    run: async (signal: AbortSignal): Promise<void> => {
+      history.onAdded((crash) => write([crash], false));
+      history.onAnswered((crashes) => write(crashes, true));
+      await Promise.all([follower.run(signal), exchange(signal), expire(signal)]);
+    },
+  };
+};
+
+export type CrashSharing = ReturnType<typeof newCrashSharing>;
+
+export default newCrashSharing;
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -16,10 +16,11 @@
 import newTaskGroup from '@cyclamengate/common/newTaskGroup';
 import type { RunningProgram } from '@cyclamengate/common/startProgram';
 import newAllowedLags from '@cyclamengate/engines/newAllowedLags';
+import newCrashGuard from '@cyclamengate/engines/newCrashGuard';
+import newCrashHistory from '@cyclamengate/engines/newCrashHistory';
 import newDirectory from '@cyclamengate/engines/newDirectory';
 import newHealth from '@cyclamengate/engines/newHealth';
 import newLoads from '@cyclamengate/engines/newLoads';
-import newObservedClient from '@cyclamengate/engines/newObservedClient';
 import { pickService } from '@cyclamengate/gateway/findRoute';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import newCandidates from '@cyclamengate/gateway/newCandidates';
@@ -34,6 +35,7 @@
 import newBatchStore from './newBatchStore.js';
 import newCallerHandler from './newCallerHandler.js';
 import newCoordination from './newCoordination.js';
+import newCrashSharing from './newCrashSharing.js';
 import newDrain from './newDrain.js';
 import newDuties from './newDuties.js';
 import newPeerService from './newPeerService.js';
@@ -82,10 +84,14 @@
   });
   loads.setRemoteLoads(coordination.runningElsewhere);
   const connections = newConnections();
-  const client = newObservedClient({
+  const crashHistory = newCrashHistory(clock);
+  const client = newCrashGuard({
+    clock,
     log,
     metrics,
     client: newHttpUpstreamClient(clock, connections),
+    directory,
+    history: crashHistory,
   });
   const candidates = newCandidates({
     directory,
@@ -112,6 +118,7 @@
     batchStore,
     coordination,
     isLeaving: () => isLeaving,
+    crashHistory,
   });
   const peers = newPeers({
     clock,
@@ -125,6 +132,17 @@
     recordExecutorHere: peerService.noteBegun,
     findReportedExecutor: batchStore.batches.findReportedExecutor,
   });
+  const crashSharing = newCrashSharing({
+    clock,
+    log,
+    store,
+    incarnation,
+    history: crashHistory,
+    peers,
+    isFresh: coordination.isFresh,
+    isOwner: () => coordination.owns('crashes'),
+    readIntervalFactor: coordination.readIntervalFactor,
+  });
   const platform = followPlatform({
     clock,
     log,
@@ -257,6 +275,7 @@
     tasks.start('heartbeats', coordination.tasks.sendHeartbeats);
     tasks.start('batches', batchStore.run);
     tasks.start('items', runner.run);
+    tasks.start('crashes', crashSharing.run);
     tasks.start('duties', duties.run);
     tasks.start('partition monitor', (signal) =>
       partitionMonitor.run({ openItems: runner.open, leave }, signal),
@@ -266,6 +285,7 @@
   const registerGauges = (): void => {
     metrics.gauge('batch_items_open', runner.open);
     metrics.gauge('batch_items_running', runner.running);
+    metrics.gauge('requests_suspected', crashHistory.size);
     metrics.gauge('hosts_live', () => coordination.members.live().length);
     metrics.gauge('settings_version', () => settingsView.read()?.settings.version ?? 0);
     metrics.gauge('batches_view_age_ms', () => Math.round(clock.now() - batchStore.freshAt()));
--- a/apps/host/src/newPeerService.ts
+++ b/apps/host/src/newPeerService.ts
@@ -1,5 +1,7 @@
+import { MAX_EXCHANGED_CRASHES } from '@cyclamengate/batches/peerRouter';
 import type { PeerService } from '@cyclamengate/batches/peerRouter';
 import type Clock from '@cyclamengate/common/Clock';
+import type { CrashHistory } from '@cyclamengate/engines/newCrashHistory';
 import type { BatchStore } from './newBatchStore.js';
 import type { Coordination } from './newCoordination.js';
 
@@ -11,11 +13,12 @@
   batchStore: BatchStore;
   coordination: Coordination;
   isLeaving: () => boolean;
+  crashHistory: CrashHistory;
 }
 
 /** The procedures that this host provides to its peers. */
 const newPeerService = (options: PeerServiceOptions): PeerService => {
-  const { clock, batchStore, coordination, isLeaving } = options;
+  const { clock, batchStore, coordination, isLeaving, crashHistory } = options;
 
   return {
     keep: (record, withinMs) => batchStore.write(record, clock.now() + withinMs),
@@ -35,6 +38,10 @@
     },
     announce: async (heartbeat) =>
       (await coordination.write(heartbeat, clock.now() + ANNOUNCE_TIMEOUT_MS)) === 'written',
+    exchangeCrashes: (crashes) => {
+      crashes.forEach(crashHistory.merge);
+      return crashHistory.newest(MAX_EXCHANGED_CRASHES);
+    },
     touch: batchStore.checkStoreAccess,
   };
 };
--- a/packages/batches/src/newItemScorer.ts
+++ b/packages/batches/src/newItemScorer.ts
@@ -1,6 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import { findRoute, pickService } from '@cyclamengate/gateway/findRoute';
+import type { Refusal } from '@cyclamengate/gateway/refusal';
 import type { PlainRelay } from '@cyclamengate/gateway/newPlainRelay';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import type { Item } from './batchRecord.js';
@@ -30,6 +31,10 @@
   readSettings: () => EffectiveSettings | null;
 }
 
+/** Time for which a call that ended upstreams is held back, in milliseconds. */
+const findHoldMs = ({ code, retryAfterMs }: Refusal): number =>
+  code === 'deadly-request' ? (retryAfterMs ?? 0) : 0;
+
 /** Requests an item's score: the signature of the scoring service's response. */
 const newItemScorer = ({ clock, log, relay, readSettings }: ItemScorerOptions) => {
   const call = async (scoring: NonNullable<Item['scoring']>, signal: AbortSignal) => {
@@ -76,7 +81,8 @@
         }
       }
       const backoffMs = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** Math.min(calls, 6));
-      await clock.sleepUntil(clock.now() + backoffMs, signal);
+      const holdMs = called?.outcome.type === 'refusal' ? findHoldMs(called.outcome.refusal) : 0;
+      await clock.sleepUntil(clock.now() + Math.max(backoffMs, holdMs), signal);
     }
     return { type: 'ended' };
   };
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -1,4 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
+import type { UpstreamCrash } from '@cyclamengate/engines/upstreamCrash';
 import type { Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { Batch, BatchChange, Handover } from './batchRecord.js';
@@ -141,6 +142,22 @@
       if (answers.some((answer) => isAnswer(answer, 'steady'))) return 'steady';
       return answers.some((answer) => isAnswer(answer, 'new')) ? 'new' : 'none';
     },
+    /**
+     * Exchanges crashes of upstreams with some peers.
+     * @returns the crashes that the peers know
+     */
+    exchangeCrashes: async (crashes: UpstreamCrash[]): Promise<UpstreamCrash[]> => {
+      const chosen = choosePeers(readPeers(), failureDomain, random);
+      const answers = await Promise.all(
+        chosen.map((peer) =>
+          ask(peer, CALL_TIMEOUT_MS, {
+            name: 'exchangeCrashes',
+            run: (client, signal) => client.exchangeCrashes.mutate(crashes, { signal }),
+          }),
+        ),
+      );
+      return answers.flatMap((answer) => (answer.type === 'answer' ? answer.value : []));
+    },
     /** Asks some peers to write a record; returns as soon as one has written it. */
     write: async (record: BatchChange): Promise<WriteOutcome> => {
       const chosen = choosePeers(readPeers(), failureDomain, random);
--- a/packages/batches/src/newRunEndHandler.ts
+++ b/packages/batches/src/newRunEndHandler.ts
@@ -66,6 +66,9 @@
         task.avoidedUpstream = upstream;
         requeue(task, 0);
         return;
+      case 'held':
+        requeue(task, end.retryAt - clock.now());
+        return;
       case 'interrupted':
         if (end.isUpstreamFault) health.recordFailure(upstream, end.reason);
         task.avoidedUpstream = upstream;
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -1,6 +1,8 @@
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import { heartbeatSchema } from '@cyclamengate/hosts/coordinationRecord';
 import type { Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
+import { upstreamCrashSchema } from '@cyclamengate/engines/upstreamCrash';
+import type { UpstreamCrash } from '@cyclamengate/engines/upstreamCrash';
 import { initTRPC } from '@trpc/server';
 import { z } from 'zod';
 import { batchChangeSchema, batchSchema, handoverSchema } from './batchRecord.js';
@@ -14,6 +16,9 @@
 /** Maximum time that a host spends on a peer's record, in milliseconds. */
 const MAX_WRITE_MS = 2_000;
 
+/** Number of crashes of upstreams that two hosts exchange in one call. */
+export const MAX_EXCHANGED_CRASHES = 128;
+
 const keepSchema = z.object({
   record: batchChangeSchema,
   /**
@@ -55,6 +60,8 @@
    * whether it was written.
    */
   announce: (heartbeat: Heartbeat) => Promise<boolean>;
+  /** Merges the sender's crashes of upstreams into this host's; @returns this host's. */
+  exchangeCrashes: (crashes: UpstreamCrash[]) => UpstreamCrash[];
   /** How well this host can read the batches from the store. */
   touch: () => Promise<StoreReachability>;
 }
@@ -72,6 +79,9 @@
     noteBegun: t.procedure.input(executorSchema).mutation(({ input }) => service.noteBegun(input)),
     takeOver: t.procedure.input(handoverSchema).mutation(({ input }) => service.takeOver(input)),
     announce: t.procedure.input(heartbeatSchema).mutation(({ input }) => service.announce(input)),
+    exchangeCrashes: t.procedure
+      .input(z.array(upstreamCrashSchema).max(MAX_EXCHANGED_CRASHES))
+      .mutation(({ input }) => service.exchangeCrashes(input)),
     touch: t.procedure.query(() => service.touch()),
   });
 
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -25,6 +25,8 @@
   /** Interrupted by a failure or by this host; the text so far remains valid. */
   | { type: 'interrupted'; reason: string; isUpstreamFault: boolean }
   | { type: 'not-run'; reason: string; isUnreachable: boolean }
+  /** Not sent, since engines ended while they ran the item; `retryAt` is on the monotonic clock. */
+  | { type: 'held'; retryAt: number }
   /** The engine ran the item and failed. */
   | { type: 'failed'; status: number }
   /** The engine reports that the item can never succeed. */
@@ -122,6 +124,7 @@
     const outcome = await client.send(entry, request, firstByteBy, runSignal);
     if (outcome.type === 'fault') {
       const { fault } = outcome;
+      if (fault.type === 'held') return fault;
       if (fault.type === 'unknown') {
         return interrupted(signal.aborted ? endReason() : fault.reason, !signal.aborted);
       }
--- a/packages/batches/tests/newSlowStore.ts
+++ b/packages/batches/tests/newSlowStore.ts
@@ -57,6 +57,10 @@
       return store.newest(topic, signal);
     }
 
+    encodeKeyed(key: string, value: Buffer | null): Buffer {
+      return store.encodeKeyed(key, value);
+    }
+
     parseKeyed(record: StoredRecord): KeyedRecord {
       return store.parseKeyed(record);
     }
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import type { AddressInfo } from 'node:net';
 import newSystemClock from '@cyclamengate/common/newSystemClock';
+import type { UpstreamCrash } from '@cyclamengate/engines/upstreamCrash';
 import type { Handover } from '../src/batchRecord.js';
 import newPeers from '../src/newPeers.js';
 import type { Peer } from '../src/newPeers.js';
@@ -19,6 +20,7 @@
   const begun = new Set<string>();
   const announced: string[] = [];
   const executorReports: string[] = [];
+  const crashesHere: UpstreamCrash[] = [];
   const server = newPeerServer({
     keep: async () => 'written',
     begin: ({ id }) => {
@@ -37,6 +39,11 @@
       if (acceptsWork) taken.push(handover);
       return acceptsWork;
     },
+    exchangeCrashes: (crashes) => {
+      const known = [...crashesHere];
+      crashesHere.push(...crashes);
+      return known;
+    },
     touch: async () => (acceptsWork ? 'steady' : 'none'),
   });
   const [answer] = server.listeners('request') as ((...args: unknown[]) => void)[];
@@ -46,7 +53,7 @@
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
   const peer = { host, failureDomain: 'detroit', address: `127.0.0.1:${port}`, cores: 1 };
-  return { peer, taken, begun, announced, executorReports, server };
+  return { peer, taken, begun, announced, executorReports, crashesHere, server };
 };
 
 export const newCaller = (peers: Peer[], reported: BatchExecutor | null = null) =>
--- a/packages/engines/src/UpstreamClient.ts
+++ b/packages/engines/src/UpstreamClient.ts
@@ -43,7 +43,12 @@
   /** The request has not run: the upstream reported so, or it was never reached. */
   | { type: 'not-run'; reason: string; isUnreachable: boolean; load: ReportedLoad | null }
   /** The request may have run. */
-  | { type: 'unknown'; reason: string };
+  | { type: 'unknown'; reason: string }
+  /**
+   * The request was not sent, since upstreams ended while they ran it. It may be sent again once
+   * the monotonic clock reaches `retryAt`.
+   */
+  | { type: 'held'; retryAt: number };
 
 export type UpstreamOutcome =
   { type: 'answer'; answer: UpstreamAnswer } | { type: 'fault'; fault: UpstreamFault };
--- /dev/null
+++ b/packages/engines/src/computeHoldMs.ts
@@ -0,0 +1,19 @@
+/** Every second crash could be a coincidence; a request is held from its second on. */
+const MIN_CRASHES = 2;
+const INITIAL_HOLD_MS = 1_000;
+/** A request that crashes all upstreams ends one at 0, 1, 6, 31 and 156 s. */
+const HOLD_FACTOR = 5;
+
+/**
+ * How long a request is held back after an upstream has ended under it, in milliseconds.
+ *
+ * Answers the load of a request that crashes each upstream that runs it, while its caller sends it
+ * again. An upstream takes the requests that it runs beside with it, and those are sent to the next
+ * one together, so innocent requests may meet two crashes in a row. They are held for a second,
+ * which a training step bears, and their next run clears them.
+ * @param crashes number of upstreams that have ended under the request
+ */
+const computeHoldMs = (crashes: number): number =>
+  crashes < MIN_CRASHES ? 0 : INITIAL_HOLD_MS * HOLD_FACTOR ** (crashes - MIN_CRASHES);
+
+export default computeHoldMs;
--- /dev/null
+++ b/packages/engines/src/newCrashGuard.ts
@@ -0,0 +1,162 @@
+import type Clock from '@cyclamengate/common/Clock';
+import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { Metrics } from '@cyclamengate/common/newMetrics';
+import computeRequestDigest from './computeRequestDigest.js';
+import type { CrashHistory } from './newCrashHistory.js';
+import type { Directory } from './newDirectory.js';
+import TruncatedAnswer from './TruncatedAnswer.js';
+import UpstreamClient from './UpstreamClient.js';
+import type { UpstreamAnswer, UpstreamOutcome, UpstreamRequest } from './UpstreamClient.js';
+import type { UpstreamCrash } from './upstreamCrash.js';
+import { getIncarnationKey, isSameIncarnation } from './upstreamEntry.js';
+import type { UpstreamEntry } from './upstreamEntry.js';
+
+/** An upstream that is started again at once is listed within this time of its crash. */
+const SUCCESSOR_WAIT_MS = 5_000;
+const MAX_UNEXPLAINED_BREAKS = 256;
+
+export interface CrashGuardOptions {
+  clock: Clock;
+  log: EventLog;
+  metrics: Metrics;
+  client: UpstreamClient;
+  directory: Pick<Directory, 'find' | 'onListed'>;
+  history: CrashHistory;
+}
+
+/** A run that an upstream broke off while its address still accepted connections. */
+interface UnexplainedBreak {
+  crash: UpstreamCrash;
+  entry: UpstreamEntry;
+  deadline: number;
+}
+
+/**
+ * Holds back requests that crash the upstreams that run them, whatever sends them: callers'
+ * requests, streams, items and scoring calls.
+ *
+ * Without it one request takes down a whole service: it is retried on the next upstream, and its
+ * caller sends it again to any host. A broken connection alone is no evidence, since answers are
+ * lost and connections are reset for other reasons. An upstream counts as crashed under a request
+ * if its address refuses connections right after, or if a successor is listed at its address soon,
+ * and if it was not leaving.
+ */
+const newCrashGuard = (options: CrashGuardOptions): UpstreamClient => {
+  const { clock, log, metrics, client, directory, history } = options;
+  let unexplainedBreaks: UnexplainedBreak[] = [];
+
+  directory.onListed((successor) => {
+    unexplainedBreaks = unexplainedBreaks.filter(({ deadline }) => clock.now() < deadline);
+    unexplainedBreaks
+      .filter(({ entry }) => entry.host === successor.host && entry.port === successor.port)
+      .filter(({ entry }) => getIncarnationKey(entry) !== getIncarnationKey(successor))
+      .forEach(({ crash }) => history.add(crash));
+  });
+
+  const isStaying = (entry: UpstreamEntry): boolean => {
+    const listed = directory.find(entry.id);
+    return listed !== undefined && !listed.isDraining && isSameIncarnation(listed, entry);
+  };
+
+  const recordBreak = async (
+    entry: UpstreamEntry,
+    request: UpstreamRequest,
+    reason: string,
+  ): Promise<void> => {
+    const wasStaying = isStaying(entry);
+    const digest = computeRequestDigest(request);
+    const crash = { digest, upstream: getIncarnationKey(entry), endedAt: clock.wallTime() };
+    const hasEnded = await client.hasEnded(entry);
+    if (wasStaying && hasEnded) history.add(crash);
+    if (wasStaying && !hasEnded) {
+      const deadline = clock.now() + SUCCESSOR_WAIT_MS;
+      unexplainedBreaks = [...unexplainedBreaks, { crash, entry, deadline }].slice(
+        -MAX_UNEXPLAINED_BREAKS,
+      );
+    }
+    metrics.count('upstream_runs_broken_off');
+    if (hasEnded) metrics.count('upstream_ends_during_run');
+    log.warn('run.broken-off', {
+      requestId: request.requestId,
+      digest,
+      upstream: entry.id,
+      reason,
+      hasEnded,
+      wasStaying,
+      endedUpstreams: history.upstreamsOf(digest),
+    });
+  };
+
+  const recordAnswer = (request: UpstreamRequest): void => {
+    if (history.size() > 0) history.recordAnswer(computeRequestDigest(request));
+  };
+
+  async function* readBody(
+    { body }: UpstreamAnswer,
+    entry: UpstreamEntry,
+    request: UpstreamRequest,
+    signal: AbortSignal,
+  ): AsyncGenerator<Buffer> {
+    try {
+      yield* body;
+    } catch (error) {
+      const isBroken = error instanceof TruncatedAnswer && !signal.aborted;
+      if (isBroken) await recordBreak(entry, request, error.message);
+      throw error;
+    }
+    recordAnswer(request);
+  }
+
+  const hold = (request: UpstreamRequest, digest: string, retryAt: number): UpstreamOutcome => {
+    metrics.count('requests_held');
+    log.warn('request.held', {
+      requestId: request.requestId,
+      digest,
+      endedUpstreams: history.upstreamsOf(digest),
+      heldForMs: Math.round(retryAt - clock.now()),
+    });
+    return { type: 'fault', fault: { type: 'held', retryAt } };
+  };
+
+  class GuardedClient extends UpstreamClient {
+    async send(
+      entry: UpstreamEntry,
+      request: UpstreamRequest,
+      firstByteDeadline: number,
+      signal: AbortSignal,
+    ): Promise<UpstreamOutcome> {
+      const digest = history.size() === 0 ? null : computeRequestDigest(request);
+      const retryAt = digest === null ? null : history.start(digest);
+      if (digest !== null && retryAt !== null) return hold(request, digest, retryAt);
+      const outcome = await client.send(entry, request, firstByteDeadline, signal);
+      if (outcome.type === 'answer') {
+        const body = readBody(outcome.answer, entry, request, signal);
+        return { type: 'answer', answer: { ...outcome.answer, body } };
+      }
+      const { fault } = outcome;
+      if (fault.type === 'not-run' && digest !== null) history.cancelStart(digest);
+      if (fault.type === 'unknown' && !signal.aborted) {
+        // The caller retries after a broken connection at once, and has to know of the crash then. A
+        // silent upstream has already cost the whole timeout.
+        const recorded = recordBreak(entry, request, fault.reason);
+        if (clock.now() < firstByteDeadline) await recorded;
+      }
+      return outcome;
+    }
+
+    isConnected(entry: UpstreamEntry): boolean {
+      return client.isConnected(entry);
+    }
+
+    hasEnded(entry: UpstreamEntry): Promise<boolean> {
+      return client.hasEnded(entry);
+    }
+
+    closeConnections(entry: UpstreamEntry): void {
+      client.closeConnections(entry);
+    }
+  }
+  return new GuardedClient();
+};
+
+export default newCrashGuard;
--- /dev/null
+++ b/packages/engines/src/newCrashHistory.ts
@@ -0,0 +1,129 @@
+import type Clock from '@cyclamengate/common/Clock';
+import computeHoldMs from './computeHoldMs.js';
+import type { UpstreamCrash } from './upstreamCrash.js';
+
+/** A request that ended upstreams may come again for minutes. */
+const RETENTION_MS = 900_000;
+/** Number of requests that are remembered; the oldest is forgotten first. */
+const MAX_REQUESTS = 1_024;
+
+interface RememberedCrash {
+  crash: UpstreamCrash;
+  /** On the monotonic clock. */
+  endedAt: number;
+}
+
+interface RequestHistory {
+  /** By incarnation of the upstream, so that a crash that is reported twice counts once. */
+  crashes: Map<string, RememberedCrash>;
+  /** When the request last started after a hold, on the monotonic clock. */
+  lastTrialAt: number;
+}
+
+/**
+ * Remembers which requests ran on upstreams that ended, as seen by all hosts, and holds back those
+ * that keep ending them. A request that is answered is forgotten.
+ */
+const newCrashHistory = (clock: Clock) => {
+  const histories = new Map<string, RequestHistory>();
+  const addedListeners: ((crash: UpstreamCrash) => void)[] = [];
+  const answeredListeners: ((crashes: UpstreamCrash[]) => void)[] = [];
+
+  const isExpired = ({ endedAt }: RememberedCrash): boolean =>
+    clock.now() >= endedAt + RETENTION_MS;
+
+  const remove = (digest: string, upstream: string): void => {
+    const history = histories.get(digest);
+    history?.crashes.delete(upstream);
+    if (history?.crashes.size === 0) histories.delete(digest);
+  };
+
+  const removeOldest = (): void => {
+    const [oldest] = histories.keys();
+    if (histories.size > MAX_REQUESTS && oldest !== undefined) histories.delete(oldest);
+  };
+
+  const findHeldUntil = ({ crashes, lastTrialAt }: RequestHistory): number => {
+    const newest = Math.max(lastTrialAt, ...[...crashes.values()].map(({ endedAt }) => endedAt));
+    return newest + computeHoldMs(crashes.size);
+  };
+
+  const listCrashes = (): RememberedCrash[] =>
+    [...histories.values()].flatMap(({ crashes }) => [...crashes.values()]);
+
+  /** @returns whether the crash is new to this host */
+  const merge = (crash: UpstreamCrash): boolean => {
+    // A clock that is ahead must not extend the hold.
+    const ageMs = Math.max(0, clock.wallTime() - crash.endedAt);
+    const remembered = { crash, endedAt: clock.now() - ageMs };
+    const history = histories.get(crash.digest);
+    if (history?.crashes.has(crash.upstream) || isExpired(remembered)) return false;
+    const crashes = new Map([...(history?.crashes ?? []), [crash.upstream, remembered]]);
+    // Deleted first, so that it becomes the newest entry.
+    histories.delete(crash.digest);
+    histories.set(crash.digest, { crashes, lastTrialAt: history?.lastTrialAt ?? -Infinity });
+    removeOldest();
+    return true;
+  };
+
+  return {
+    /** Adds a crash that another host has seen; @returns whether it is new to this host. */
+    merge,
+    /** Adds a crash that this host has seen. */
+    add: (crash: UpstreamCrash): void => {
+      if (merge(crash)) addedListeners.forEach((listener) => listener(crash));
+    },
+    remove,
+    /** Forgets the crashes of a request that an upstream has answered to this host. */
+    recordAnswer: (digest: string): void => {
+      const crashes = [...(histories.get(digest)?.crashes.values() ?? [])];
+      if (crashes.length === 0) return;
+      histories.delete(digest);
+      const forgotten = crashes.map(({ crash }) => crash);
+      answeredListeners.forEach((listener) => listener(forgotten));
+    },
+    /** Called with each crash that this host has seen first. */
+    onAdded: (listener: (crash: UpstreamCrash) => void): void => {
+      addedListeners.push(listener);
+    },
+    /** Called with the crashes of a request that has been answered to this host. */
+    onAnswered: (listener: (crashes: UpstreamCrash[]) => void): void => {
+      answeredListeners.push(listener);
+    },
+    /** Forgets the crashes that are too old; @returns them. */
+    forgetExpired: (): UpstreamCrash[] => {
+      const expired = listCrashes().filter(isExpired);
+      expired.forEach(({ crash }) => remove(crash.digest, crash.upstream));
+      return expired.map(({ crash }) => crash);
+    },
+    /**
+     * Starts a run of a request unless it is held. One run at a time is tried after a hold.
+     * @returns when the request may run, on the monotonic clock; null if it may run now
+     */
+    start: (digest: string): number | null => {
+      const history = histories.get(digest);
+      if (!history) return null;
+      const heldUntil = findHeldUntil(history);
+      if (clock.now() < heldUntil) return heldUntil;
+      history.lastTrialAt = clock.now();
+      return null;
+    },
+    /** Takes a start back that did not reach an upstream. */
+    cancelStart: (digest: string): void => {
+      const history = histories.get(digest);
+      if (history) history.lastTrialAt = -Infinity;
+    },
+    /** Incarnations of the upstreams that ended under a request. */
+    upstreamsOf: (digest: string): string[] => [...(histories.get(digest)?.crashes.keys() ?? [])],
+    size: (): number => histories.size,
+    /** The crashes of the requests that were added last. */
+    newest: (limit: number): UpstreamCrash[] =>
+      listCrashes()
+        .slice(-limit)
+        .map(({ crash }) => crash),
+  };
+};
+
+export type CrashHistory = ReturnType<typeof newCrashHistory>;
+
+export default newCrashHistory;
--- a/packages/engines/src/newDirectory.ts
+++ b/packages/engines/src/newDirectory.ts
@@ -19,7 +19,8 @@
 /** The upstreams that are listed in the store. */
 const newDirectory = (clock: Clock, log: EventLog) => {
   const listed = new Map<string, ListedUpstream>();
-  const listeners: ((entry: UpstreamEntry) => void)[] = [];
+  const removalListeners: ((entry: UpstreamEntry) => void)[] = [];
+  const listingListeners: ((entry: UpstreamEntry) => void)[] = [];
   let graceUntil = -Infinity;
 
   const removeUpstream = (id: string, reason: string): void => {
@@ -27,7 +28,7 @@
     if (!upstream) return;
     listed.delete(id);
     log.info('upstream.gone', { upstream: id, service: upstream.entry.service, reason });
-    listeners.forEach((listener) => listener(upstream.entry));
+    removalListeners.forEach((listener) => listener(upstream.entry));
   };
 
   const removeExpired = (): void =>
@@ -60,6 +61,8 @@
       if (before && !isSameIncarnation(before, entry)) removeUpstream(entry.id, 'restarted');
       logChange(entry, before);
       listed.set(entry.id, { entry, expiresAt: null });
+      const isNew = !before || !isSameIncarnation(before, entry);
+      if (isNew) listingListeners.forEach((listener) => listener(entry));
     },
     remove: (id: string): void => {
       const upstream = listed.get(id);
@@ -84,7 +87,11 @@
       return listed.get(id)?.entry;
     },
     onRemoved: (listener: (entry: UpstreamEntry) => void): void => {
-      listeners.push(listener);
+      removalListeners.push(listener);
+    },
+    /** Called with each new upstream and each new incarnation of one. */
+    onListed: (listener: (entry: UpstreamEntry) => void): void => {
+      listingListeners.push(listener);
     },
   };
 };
--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -44,6 +44,8 @@
 export type Attempt =
   | { type: 'answer'; answer: CompleteAnswer }
   | { type: 'not-run'; reason: string }
+  /** Not sent; `retryAt` is on the monotonic clock. */
+  | { type: 'held'; retryAt: number }
   | { type: 'failed'; reason: string };
 
 /** When an attempt's answer is given up. */
@@ -67,6 +69,7 @@
       const outcome = await client.send(entry, request, firstByteDeadline, signal);
       if (outcome.type === 'fault') {
         const { fault } = outcome;
+        if (fault.type === 'held') return fault;
         const isUpstreamFailure = fault.type === 'unknown' || fault.isUnreachable;
         // A caller's deadline that is shorter than the timeout does not indicate a failure.
         const isShortDeadline =
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -9,11 +9,9 @@
   PlainAttemptOptions,
   RelayedRequest,
 } from './newPlainAttempt.js';
-import { notRun, uncertain } from './refusal.js';
+import { notRunRefusal, uncertain } from './refusal.js';
 import type { Refusal } from './refusal.js';
 
-/** Retry delay for callers if there is no upstream; about the time of a registry update. */
-const NO_UPSTREAM_RETRY_DELAY_MS = 250;
 /** A hedged request is sent after this multiple of the first upstream's usual latency. */
 const HEDGE_LATENCY_FACTOR = 2.5;
 /** Half of the usual latency target of 190 ms; most calls take 45 ms, one in a hundred 180 ms. */
@@ -69,6 +67,8 @@
     let lastFailure: CompleteAnswer | null = null;
     let lastReason = 'no upstream';
     let lastUpstream = '';
+    /** When the request may be sent again; null if it is not held. */
+    let heldUntil: number | null = null;
 
     const start = (candidate: Candidate): Promise<{ result: Attempt; candidate: Candidate }> => {
       tried.add(candidate.entry.id);
@@ -108,7 +108,10 @@
     };
 
     const mayStart = (): boolean =>
-      tried.size < request.maxUpstreams && (request.isIdempotent || !hasRun) && !signal.aborted;
+      tried.size < request.maxUpstreams &&
+      (request.isIdempotent || !hasRun) &&
+      heldUntil === null &&
+      !signal.aborted;
 
     const startNext = (): Candidate | null => {
       const next = mayStart() ? chooseUpstream(candidates(request.service, tried)) : null;
@@ -122,8 +125,10 @@
     let newestCandidate = startNext();
     while (running.size > 0) {
       const hedgeTimer = new AbortController();
-      const mayHedge = request.isIdempotent && running.size === 1 && newestCandidate !== null;
-      const waitUntil = mayHedge
+      // After a broken run the next one goes alone: it may crash its upstream as well.
+      const mayHedge: boolean =
+        request.isIdempotent && !hasRun && running.size === 1 && newestCandidate !== null;
+      const waitUntil: number = mayHedge
         ? Math.min(
             computeAnswerDeadline(request),
             clock.now() + computeHedgeDelayMs(newestCandidate as Candidate, request),
@@ -160,6 +165,10 @@
           lastFailure = result.answer;
           lastUpstream = candidate.entry.id;
           lastReason = `status ${result.answer.status}`;
+        } else if (result.type === 'held') {
+          heldUntil = result.retryAt;
+          lastReason = 'held';
+          tried.delete(candidate.entry.id);
         } else {
           hasRun = hasRun || result.type === 'failed';
           lastReason = result.reason;
@@ -174,7 +183,7 @@
     const isPastDeadline = clock.now() >= request.deadline - TIMER_SLACK_MS;
     const refusal = hasRun
       ? uncertain(isPastDeadline ? 'deadline' : 'upstream-failed', isPastDeadline ? 504 : 502)
-      : notRun('no-upstream', NO_UPSTREAM_RETRY_DELAY_MS);
+      : notRunRefusal(heldUntil, clock.now());
     return finish({ type: 'refusal', refusal, hasRun, upstreams: tried.size });
   };
 };
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -13,9 +13,8 @@
 import type { RelayedRequest } from './newPlainAttempt.js';
 import type { RelayOutcome } from './newPlainRelay.js';
 import readAnswerBody from './readAnswerBody.js';
-import { notRun, uncertain } from './refusal.js';
+import { notRunRefusal, uncertain } from './refusal.js';
 
-const NO_UPSTREAM_RETRY_DELAY_MS = 250;
 /** Timeout for an upstream's first byte; callers of streams disconnect after 2 s. */
 const FIRST_BYTE_TIMEOUT_MS = 1_500;
 
@@ -28,7 +27,7 @@
   loads: Loads;
 }
 
-type AttemptEnd = 'whole' | 'broken' | 'not-run' | 'failed' | 'caller-gone';
+type AttemptEnd = 'whole' | 'broken' | 'not-run' | 'held' | 'failed' | 'caller-gone';
 
 /**
  * Relays a stream of events as they arrive.
@@ -52,6 +51,8 @@
     let hasRun = false;
     let failure: { answer: UpstreamAnswer; body: Buffer; upstream: string } | null = null;
     let lastReason = 'no upstream';
+    /** When the request may be sent again; null if it is not held. */
+    let heldUntil: number | null = null;
 
     const relayEvents = async (answer: UpstreamAnswer): Promise<AttemptEnd> => {
       const split = newEventSplitter();
@@ -75,6 +76,11 @@
       );
       if (signal.aborted) return 'caller-gone';
       if (outcome.type === 'fault') {
+        if (outcome.fault.type === 'held') {
+          heldUntil = outcome.fault.retryAt;
+          lastReason = 'held';
+          return 'held';
+        }
         lastReason = outcome.fault.reason;
         if (outcome.fault.type === 'not-run') return 'not-run';
         health.recordFailure(entry.id, lastReason);
@@ -101,6 +107,7 @@
 
     const mayStart = (): boolean =>
       !signal.aborted &&
+      heldUntil === null &&
       clock.now() < request.deadline &&
       tried.size < request.maxUpstreams &&
       (request.isIdempotent || !hasRun);
@@ -135,9 +142,7 @@
       const answer = { status, headers, signature, body: failed.body };
       return { type: 'answer', answer, upstream: failed.upstream, upstreams };
     }
-    const refusal = hasRun
-      ? uncertain('upstream-failed')
-      : notRun('no-upstream', NO_UPSTREAM_RETRY_DELAY_MS);
+    const refusal = hasRun ? uncertain('upstream-failed') : notRunRefusal(heldUntil, clock.now());
     return { type: 'refusal', refusal, hasRun, upstreams };
   };
 };
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -13,6 +13,19 @@
   retryAfterMs,
 });
 
+/** Retry delay for callers if there is no upstream; about the time of a registry update. */
+const NO_UPSTREAM_RETRY_DELAY_MS = 250;
+
+/**
+ * A refusal of a request that was not sent to any upstream.
+ * @param heldUntil when a request that ended upstreams may run again; null if it is not held
+ * @param now both times are on the monotonic clock
+ */
+export const notRunRefusal = (heldUntil: number | null, now: number): Refusal =>
+  heldUntil === null
+    ? notRun('no-upstream', NO_UPSTREAM_RETRY_DELAY_MS)
+    : notRun('deadly-request', Math.max(0, heldUntil - now));
+
 /** A refusal that leaves open whether the request has run. */
 export const uncertain = (code: string, status: 502 | 504 = 502): Refusal => ({
   status,
--- a/packages/store/src/Store.ts
+++ b/packages/store/src/Store.ts
@@ -69,6 +69,9 @@
   /** The newest record of each key of a keyed topic. */
   abstract newest(topic: string, signal?: AbortSignal): Promise<Result<KeyedSnapshot, StoreFault>>;
 
+  /** Encodes a record of a keyed topic; a null value deletes the key. */
+  abstract encodeKeyed(key: string, value: Buffer | null): Buffer;
+
   /** Splits a record of a keyed topic into its key and value. */
   abstract parseKeyed(record: StoredRecord): KeyedRecord;
 }
--- a/packages/store/src/newMemoryStore.ts
+++ b/packages/store/src/newMemoryStore.ts
@@ -204,6 +204,10 @@
         return injectedFault() ?? Ok(newest(topic));
       }
 
+      encodeKeyed(key: string, value: Buffer | null): Buffer {
+        return encodeKeyedBody(key, value?.toString() ?? '');
+      }
+
       parseKeyed({ offset, body }: StoredRecord): KeyedRecord {
         return { offset, ...parseKeyedBody(body) };
       }
--- a/packages/store/tests/FaultyStore.ts
+++ b/packages/store/tests/FaultyStore.ts
@@ -161,6 +161,10 @@
     throw new Error('unused');
   }
 
+  encodeKeyed(): Buffer {
+    throw new Error('not used');
+  }
+
   parseKeyed(): never {
     throw new Error('unused');
   }
