--- /dev/null
+++ b/packages/engines/tests/newCrashGuard.test.ts
@@ -0,0 +1,194 @@
+import { newManualClock, settle } from '@cyclamengate/fakes/newManualClock';
+import test from 'ava';
+import newCrashGuard from '../src/newCrashGuard.js';
+import newCrashHistory from '../src/newCrashHistory.js';
+import newDirectory from '../src/newDirectory.js';
+import TruncatedAnswer from '../src/TruncatedAnswer.js';
+import UpstreamClient from '../src/UpstreamClient.js';
+import type { UpstreamOutcome, UpstreamRequest } from '../src/UpstreamClient.js';
+import type { UpstreamEntry } from '../src/upstreamEntry.js';
+import { newEntry, silentLog } from './helpers.js';
+
+const silentMetrics = {
+  count: () => {},
+  readCounter: () => 0,
+  gauge: () => {},
+  observe: () => {},
+  text: () => '',
+};
+
+async function* yieldBody(text: string, isTruncated: boolean): AsyncGenerator<Buffer> {
+  yield Buffer.from(text);
+  if (isTruncated) throw new TruncatedAnswer('reset');
+}
+
+const broken: UpstreamOutcome = { type: 'fault', fault: { type: 'unknown', reason: 'reset' } };
+const full: UpstreamOutcome = {
+  type: 'fault',
+  fault: { type: 'not-run', reason: 'full', isUnreachable: false, load: null },
+};
+
+const newAnswer = (isTruncated = false): UpstreamOutcome => ({
+  type: 'answer',
+  answer: {
+    status: 200,
+    headers: {},
+    signature: 's',
+    load: null,
+    version: null,
+    isEventStream: false,
+    body: yieldBody('ok', isTruncated),
+  },
+});
+
+const newRequest = (body: string, requestId = 'r1'): UpstreamRequest => ({
+  requestId,
+  method: 'POST',
+  path: '/lookup/1',
+  hostName: 'parts.example',
+  headers: {},
+  body: Buffer.from(body),
+  customer: 'museum',
+  deadline: null,
+  lastEventId: null,
+});
+
+const newGuard = () => {
+  const clock = newManualClock();
+  const directory = newDirectory(clock, silentLog);
+  const history = newCrashHistory(clock);
+  const state = { outcome: (): UpstreamOutcome => broken, ended: new Set<string>(), sent: 0 };
+
+  class FakeClient extends UpstreamClient {
+    async send(): Promise<UpstreamOutcome> {
+      state.sent += 1;
+      return state.outcome();
+    }
+
+    async hasEnded({ id }: UpstreamEntry): Promise<boolean> {
+      return state.ended.has(id);
+    }
+
+    isConnected(): boolean {
+      return true;
+    }
+
+    closeConnections(): void {}
+  }
+
+  const guard = newCrashGuard({
+    clock,
+    log: silentLog,
+    metrics: silentMetrics,
+    client: new FakeClient(),
+    directory,
+    history,
+  });
+  const entries = ['a', 'b', 'c'].map((id, index) => newEntry(id, { host: `10.0.0.${index}` }));
+  entries.forEach(directory.put);
+  const signal = new AbortController();
+  /** Sends a request and reads the answer's body. */
+  const run = async (upstream: number, body = 'deadly'): Promise<UpstreamOutcome> => {
+    const entry = entries[upstream] as UpstreamEntry;
+    const deadline = clock.now() + 1_000;
+    const outcome = await guard.send(entry, newRequest(body), deadline, signal.signal);
+    if (outcome.type === 'answer') {
+      try {
+        for await (const chunk of outcome.answer.body) chunk.toString();
+      } catch (error) {
+        if (!(error instanceof TruncatedAnswer)) throw error;
+      }
+    }
+    return outcome;
+  };
+  const isHeld = (outcome: UpstreamOutcome): boolean =>
+    outcome.type === 'fault' && outcome.fault.type === 'held';
+  return { clock, directory, history, state, guard, entries, signal, run, isHeld };
+};
+
+test('a request that ended two upstreams is not sent to a third', async (t) => {
+  // Guards against one request that takes down all upstreams of a service.
+  const { state, run, isHeld } = newGuard();
+  state.ended = new Set(['a', 'b']);
+  t.false(isHeld(await run(0)));
+  t.false(isHeld(await run(1)));
+  t.true(isHeld(await run(2)));
+  t.is(state.sent, 2);
+  t.false(isHeld(await run(2, 'another')));
+});
+
+test('an answer that is broken off as its upstream ends counts as a crash', async (t) => {
+  const { state, run, isHeld } = newGuard();
+  state.ended = new Set(['a', 'b']);
+  state.outcome = () => newAnswer(true);
+  await run(0);
+  await run(1);
+  t.true(isHeld(await run(2)));
+});
+
+test('lost answers and reset connections hold no request back', async (t) => {
+  // Guards against innocent requests that are refused while answers are lost or connections reset.
+  const { state, run, isHeld } = newGuard();
+  for (let count = 0; count < 6; count += 1) t.false(isHeld(await run(count % 3)));
+  state.outcome = () => newAnswer(true);
+  for (let count = 0; count < 6; count += 1) t.false(isHeld(await run(count % 3)));
+});
+
+test('upstreams that end while they are leaving hold no request back', async (t) => {
+  // Guards against innocent requests that are refused while upstreams are replaced or reclaimed.
+  const { directory, entries, state, run, isHeld } = newGuard();
+  state.ended = new Set(['a', 'b', 'c']);
+  entries.forEach((entry) => directory.put({ ...entry, isDraining: true }));
+  await run(0);
+  await run(1);
+  directory.remove('c');
+  await run(2);
+  t.false(isHeld(await run(0)));
+});
+
+test('an upstream that is started again at once counts as crashed', async (t) => {
+  // Guards against a supervisor that is faster than the probe: its upstream accepts connections.
+  const { clock, directory, entries, run, isHeld } = newGuard();
+  const [first, second, third] = entries as [UpstreamEntry, UpstreamEntry, UpstreamEntry];
+  await run(0);
+  await run(1);
+  directory.put({ ...first, startedAt: 2 });
+  directory.put({ ...second, id: 'successor' });
+  t.true(isHeld(await run(2)));
+  await run(2, 'another');
+  await clock.advance(5_000);
+  directory.put({ ...third, startedAt: 2 });
+  t.false(isHeld(await run(0, 'another')));
+});
+
+test('a request that its caller leaves is not counted', async (t) => {
+  const { state, signal, run, isHeld } = newGuard();
+  state.ended = new Set(['a', 'b']);
+  signal.abort();
+  await run(0);
+  await run(1);
+  t.false(isHeld(await run(2)));
+});
+
+test('a silent upstream does not delay the next attempt by the probe', async (t) => {
+  const { clock, guard, entries, history, state, signal } = newGuard();
+  state.ended = new Set(['a']);
+  const [first] = entries as [UpstreamEntry];
+  const outcome = await guard.send(first, newRequest('x'), clock.now(), signal.signal);
+  t.is(outcome, broken);
+  await settle();
+  t.is(history.size(), 1);
+});
+
+test('a held request that an upstream answers after its hold is released', async (t) => {
+  const { clock, history, state, run, isHeld } = newGuard();
+  state.ended = new Set(['a', 'b']);
+  await run(0);
+  await run(1);
+  await clock.advance(1_000);
+  state.outcome = () => full;
+  t.false(isHeld(await run(2)));
+  state.outcome = () => newAnswer();
+  t.false(isHeld(await run(2)));
+  t.is(history.size(), 0);
+});
--- a/packages/gateway/tests/helpers.ts
+++ b/packages/gateway/tests/helpers.ts
@@ -60,6 +60,10 @@
   fault: { type: 'unknown', reason: 'reset' },
 });
 
+export const holding =
+  (retryAt: number): Behaviour =>
+  async () => ({ type: 'fault', fault: { type: 'held', retryAt } });
+
 /** Accepts the request and never answers; ends when the request is aborted. */
 export const unresponsive: Behaviour = (_request, signal) =>
   new Promise((resolve) => {
--- a/packages/gateway/tests/newPlainRelay.test.ts
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -4,6 +4,7 @@
 import {
   answering,
   breaking,
+  holding,
   newRequest,
   newUpstreams,
   refusing,
@@ -135,3 +136,54 @@
   t.true(result.type === 'refusal' && result.refusal.status === 504);
   t.false(health.isBackedOff('one'));
 });
+
+test('a request that is held back is refused at once, with the time to come back', async (t) => {
+  // Guards against a request that ends upstreams and is tried on each of them in vain, and against a
+  // caller that is not told when it may come back.
+  const clock = newManualClock();
+  const behave = holding(clock.now() + 5_000);
+  const { relay, sent, health } = newTestRelay({ a: behave, b: behave }, clock);
+  const result = await relay(newRequest(clock), neverAborted);
+  t.is(sent.length, 1);
+  t.deepEqual(result.type === 'refusal' && result.refusal, {
+    status: 503,
+    code: 'deadly-request',
+    retryAfterMs: 5_000,
+  });
+  t.true(result.type === 'refusal' && !result.hasRun && result.upstreams === 0);
+  t.false(health.isBackedOff('a') || health.isBackedOff('b'));
+});
+
+test('a request that is held back after it has run is not refused as not run', async (t) => {
+  // The second crash of a request holds it back within the attempt that caused it.
+  const clock = newManualClock();
+  let sends = 0;
+  const crashThenHold: Behaviour = (request, signal) => {
+    sends += 1;
+    const behave = sends <= 2 ? breaking : holding(clock.now() + 1_000);
+    return behave(request, signal);
+  };
+  const { relay, sent } = newTestRelay(
+    { a: crashThenHold, b: crashThenHold, c: crashThenHold },
+    clock,
+  );
+  const result = await relay(newRequest(clock), neverAborted);
+  t.is(sent.length, 3);
+  t.true(result.type === 'refusal' && result.refusal.status === 502 && result.hasRun);
+});
+
+test('after a broken run no second upstream runs the request at the same time', async (t) => {
+  // Guards against a hedged request that ends two upstreams at once.
+  const clock = newManualClock();
+  let sends = 0;
+  const breakOnce: Behaviour = (request, signal) => {
+    sends += 1;
+    return (sends === 1 ? breaking : unresponsive)(request, signal);
+  };
+  const { relay, sent } = newTestRelay({ a: breakOnce, b: breakOnce, c: breakOnce }, clock);
+  const outcome = relay(newRequest(clock), neverAborted);
+  await clock.advance(900);
+  t.is(sent.length, 2);
+  await clock.advance(1_000);
+  await outcome;
+});
