A request that ended upstreams is told when to come back, so that its retry meets hosts that know

The 502 now names the time to come back, which clients honour; the answer itself is still sent at once.

--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -81,6 +81,10 @@
       return false;
     }
 
+    heldUntil(): null {
+      return null;
+    }
+
     isConnected(): boolean {
       return true;
     }
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -52,6 +52,10 @@
       return false;
     }
 
+    heldUntil(): null {
+      return null;
+    }
+
     isConnected(): boolean {
       return true;
     }
--- a/packages/engines/src/UpstreamClient.ts
+++ b/packages/engines/src/UpstreamClient.ts
@@ -67,6 +67,12 @@
     signal: AbortSignal,
   ): Promise<UpstreamOutcome>;
 
+  /**
+   * When a request that ended upstreams may be sent again, on the monotonic clock; null if it is not
+   * held.
+   */
+  abstract heldUntil(request: UpstreamRequest): number | null;
+
   /** Whether a connection to the upstream is open and can take a request. */
   abstract isConnected(entry: UpstreamEntry): boolean;
 
--- a/packages/engines/src/newCrashGuard.ts
+++ b/packages/engines/src/newCrashGuard.ts
@@ -144,6 +144,10 @@
       return outcome;
     }
 
+    heldUntil(request: UpstreamRequest): number | null {
+      return history.size() === 0 ? null : history.heldUntil(computeRequestDigest(request));
+    }
+
     isConnected(entry: UpstreamEntry): boolean {
       return client.isConnected(entry);
     }
--- a/packages/engines/src/newCrashHistory.ts
+++ b/packages/engines/src/newCrashHistory.ts
@@ -108,6 +108,12 @@
       history.lastTrialAt = clock.now();
       return null;
     },
+    /** When a request may run, on the monotonic clock; null if it may run now. */
+    heldUntil: (digest: string): number | null => {
+      const history = histories.get(digest);
+      const heldUntil = history ? findHeldUntil(history) : -Infinity;
+      return clock.now() < heldUntil ? heldUntil : null;
+    },
     /** Takes a start back that did not reach an upstream. */
     cancelStart: (digest: string): void => {
       const history = histories.get(digest);
--- a/packages/engines/tests/newCrashGuard.test.ts
+++ b/packages/engines/tests/newCrashGuard.test.ts
@@ -69,6 +69,10 @@
       return state.ended.has(id);
     }
 
+    heldUntil(): null {
+      return null;
+    }
+
     isConnected(): boolean {
       return true;
     }
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -9,7 +9,7 @@
   PlainAttemptOptions,
   RelayedRequest,
 } from './newPlainAttempt.js';
-import { notRunRefusal, uncertain } from './refusal.js';
+import { notRunRefusal, uncertain, withRetryAt } from './refusal.js';
 import type { Refusal } from './refusal.js';
 
 /** A hedged request is sent after this multiple of the first upstream's usual latency. */
@@ -41,7 +41,7 @@
  * that may not be repeated is only sent to another upstream if it is certain that it has not run.
  */
 const newPlainRelay = (options: PlainRelayOptions) => {
-  const { clock, log, candidates } = options;
+  const { clock, log, client, candidates } = options;
   const attempt = newPlainAttempt(options);
 
   const computeHedgeDelayMs = (
@@ -181,8 +181,13 @@
       return finish({ type: 'answer', answer: lastFailure, upstream, upstreams: tried.size });
     }
     const isPastDeadline = clock.now() >= request.deadline - TIMER_SLACK_MS;
+    // A request that ended upstreams must not come back before every host knows of it.
     const refusal = hasRun
-      ? uncertain(isPastDeadline ? 'deadline' : 'upstream-failed', isPastDeadline ? 504 : 502)
+      ? withRetryAt(
+          uncertain(isPastDeadline ? 'deadline' : 'upstream-failed', isPastDeadline ? 504 : 502),
+          client.heldUntil(request),
+          clock.now(),
+        )
       : notRunRefusal(heldUntil, clock.now());
     return finish({ type: 'refusal', refusal, hasRun, upstreams: tried.size });
   };
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -13,7 +13,7 @@
 import type { RelayedRequest } from './newPlainAttempt.js';
 import type { RelayOutcome } from './newPlainRelay.js';
 import readAnswerBody from './readAnswerBody.js';
-import { notRunRefusal, uncertain } from './refusal.js';
+import { notRunRefusal, uncertain, withRetryAt } from './refusal.js';
 
 /** Timeout for an upstream's first byte; callers of streams disconnect after 2 s. */
 const FIRST_BYTE_TIMEOUT_MS = 1_500;
@@ -142,7 +142,9 @@
       const answer = { status, headers, signature, body: failed.body };
       return { type: 'answer', answer, upstream: failed.upstream, upstreams };
     }
-    const refusal = hasRun ? uncertain('upstream-failed') : notRunRefusal(heldUntil, clock.now());
+    const refusal = hasRun
+      ? withRetryAt(uncertain('upstream-failed'), client.heldUntil(request), clock.now())
+      : notRunRefusal(heldUntil, clock.now());
     return { type: 'refusal', refusal, hasRun, upstreams };
   };
 };
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -33,6 +33,10 @@
   retryAfterMs: null,
 });
 
+/** The same refusal with a time to come back, unless that is null; times are monotonic. */
+export const withRetryAt = (refusal: Refusal, retryAt: number | null, now: number): Refusal =>
+  retryAt === null ? refusal : { ...refusal, retryAfterMs: Math.max(0, retryAt - now) };
+
 /** A refusal of a request that can't be served even if it is sent again. */
 export const rejected = (status: number, code: string): Refusal => ({
   status,
--- a/packages/gateway/tests/helpers.ts
+++ b/packages/gateway/tests/helpers.ts
@@ -91,6 +91,10 @@
       return false;
     }
 
+    heldUntil(): null {
+      return null;
+    }
+
     isConnected(): boolean {
       return true;
     }
