A resumable stream whose upstream falls silent continues at another one

It ends such a run after 1.2 s now and resumes it, with the timeout that items have (moved to newIdleTimeout). The new test of the silent stream failed before (the caller got two events of four). Tests of resuming, of the stream that cannot be resumed and of the held one come with it.

--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -1,4 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
+import newIdleTimeout from '@cyclamengate/engines/newIdleTimeout';
 import type { ReportedLoad } from '@cyclamengate/engines/newLoads';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
 import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
@@ -54,34 +55,16 @@
   isUpstreamFault,
 });
 
-/** Aborts the wait for the next chunk of a stream when it takes too long or the run has ended. */
-const newIdleTimeout = (clock: Clock, signal: AbortSignal) => {
-  const controller = new AbortController();
-  let deadline = clock.now() + FIRST_EVENT_TIMEOUT_MS;
-  const watch = async (): Promise<void> => {
-    while (!controller.signal.aborted) {
-      if (signal.aborted || clock.now() >= deadline) {
-        controller.abort('silent');
-        return;
-      }
-      await clock.sleepUntil(deadline, controller.signal);
-    }
-  };
-  watch();
-  return {
-    signal: controller.signal,
-    reset: (): void => {
-      deadline = clock.now() + EVENT_TIMEOUT_MS;
-    },
-    end: (): void => controller.abort('over'),
-  };
-};
-
 /** Runs an item once, resuming after its progress, and appends the events to the progress. */
 const runOnce = async (options: RunOnceOptions): Promise<RunEnd> => {
   const { clock, client, newEventReader, entry, request, progress } = options;
   const { isVersionAllowed, onEvent, onLoad, signal } = options;
-  const idleTimeout = newIdleTimeout(clock, signal);
+  const idleTimeout = newIdleTimeout({
+    clock,
+    signal,
+    firstTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
+    timeoutMs: EVENT_TIMEOUT_MS,
+  });
   const runSignal = AbortSignal.any([signal, idleTimeout.signal]);
 
   const readEvents = async (answer: UpstreamAnswer): Promise<RunEnd> => {
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -4,6 +4,8 @@
 import chooseUpstream from '@cyclamengate/engines/chooseUpstream';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import type { Health } from '@cyclamengate/engines/newHealth';
+import newIdleTimeout from '@cyclamengate/engines/newIdleTimeout';
+import type { IdleTimeout } from '@cyclamengate/engines/newIdleTimeout';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
@@ -17,6 +19,11 @@
 
 /** Timeout for an upstream's first byte; callers of streams disconnect after 2 s. */
 const FIRST_BYTE_TIMEOUT_MS = 1_500;
+/**
+ * Maximum gap within a stream that another upstream can resume before its caller disconnects. A slow
+ * engine generates an event every 150 ms.
+ */
+const CHUNK_TIMEOUT_MS = 1_200;
 
 export interface StreamRelayOptions {
   clock: Clock;
@@ -35,7 +42,8 @@
  * An upstream's answer can end in the middle of an event. Only complete events are forwarded, so a
  * resumable stream continues at another upstream after its last complete event, within one
  * response. Any other stream is ended by destroying the connection, which the caller can't mistake
- * for a regular end.
+ * for a regular end. An upstream that falls silent in the middle of a resumable stream counts as
+ * failed; the connection may have been forgotten between the two ends.
  */
 const newStreamRelay = (options: StreamRelayOptions) => {
   const { clock, log, client, candidates, health, loads } = options;
@@ -54,9 +62,13 @@
     /** When the request may be sent again; null if it is not held. */
     let heldUntil: number | null = null;
 
-    const relayEvents = async (answer: UpstreamAnswer): Promise<AttemptEnd> => {
+    const relayEvents = async (
+      answer: UpstreamAnswer,
+      onChunk: () => void,
+    ): Promise<AttemptEnd> => {
       const split = newEventSplitter();
       for await (const chunk of answer.body) {
+        onChunk();
         if (!response.headersSent) {
           response.writeHead(answer.status, answer.headers);
         }
@@ -67,12 +79,16 @@
       return split(Buffer.alloc(0)).isBetweenEvents ? 'whole' : 'broken';
     };
 
-    const runAttempt = async ({ entry }: Candidate): Promise<AttemptEnd> => {
+    /** @param idle aborts the run when the upstream is silent; null if nothing could resume it */
+    const runAttempt = async (
+      { entry }: Candidate,
+      idle: IdleTimeout | null,
+    ): Promise<AttemptEnd> => {
       const outcome = await client.send(
         entry,
         { ...request, lastEventId, mustNotRepeat: !request.isIdempotent },
         Math.min(request.deadline, clock.now() + FIRST_BYTE_TIMEOUT_MS),
-        signal,
+        idle ? AbortSignal.any([signal, idle.signal]) : signal,
       );
       if (signal.aborted) return 'caller-gone';
       if (outcome.type === 'fault') {
@@ -96,10 +112,10 @@
         return 'failed';
       }
       try {
-        return await relayEvents(answer);
+        return await relayEvents(answer, () => idle?.reset());
       } catch (error) {
         if (!(error instanceof TruncatedAnswer)) throw error;
-        lastReason = error.message;
+        lastReason = idle?.signal.aborted ? 'silent' : error.message;
         if (!signal.aborted) health.recordFailure(entry.id, lastReason);
         return signal.aborted ? 'caller-gone' : 'broken';
       }
@@ -117,7 +133,16 @@
       if (!next) break;
       tried.add(next.entry.id);
       loads.begin(next.entry.id);
-      const end = await runAttempt(next);
+      const idle = request.isIdempotent
+        ? newIdleTimeout({
+            clock,
+            signal,
+            firstTimeoutMs: FIRST_BYTE_TIMEOUT_MS,
+            timeoutMs: CHUNK_TIMEOUT_MS,
+          })
+        : null;
+      const end = await runAttempt(next, idle);
+      idle?.end();
       loads.end(next.entry.id);
       if (end === 'whole') {
         response.end();
--- a/packages/gateway/tests/newStreamRelay.test.ts
+++ b/packages/gateway/tests/newStreamRelay.test.ts
@@ -1,35 +1,155 @@
-import { createServer, get } from 'node:http';
-import type { Server, ServerResponse } from 'node:http';
+import { createServer, request as httpRequest } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import type { ManualClock } from '@cyclamengate/fakes/newManualClock';
 import test from 'ava';
-import newStreamRelay from '../src/newStreamRelay.js';
+import type { ExecutionContext } from 'ava';
+import type { RelayedRequest } from '../src/newPlainAttempt.js';
 import type { RelayOutcome } from '../src/newPlainRelay.js';
-import { holding, newRequest, newUpstreams, silentLog } from './helpers.js';
+import newStreamRelay from '../src/newStreamRelay.js';
+import { answering, holding, newRequest, newUpstreams, silentLog } from './helpers.js';
+import type { Behaviour } from './helpers.js';
 
-test('a stream that is held back is refused as not run, with the time to come back', async (t) => {
-  // Guards against a stream that ends engines and is tried on each of them in vain.
-  const clock = newManualClock();
-  const behave = holding(clock.now() + 5_000);
-  const upstreams = newUpstreams(clock, { a: behave, b: behave });
-  const relay = newStreamRelay({ clock, log: silentLog, ...upstreams });
-  let resolveOutcome: (outcome: RelayOutcome) => void = () => {};
-  const outcome = new Promise<RelayOutcome>((resolve) => {
-    resolveOutcome = resolve;
+const event = (id: number): string => `id: ${id}\ndata: ${id}\n\n`;
+
+/** Sends events from the requested one on, up to the last one. */
+const sending =
+  (last: number, { breaksOff = false, extra = '' } = {}): Behaviour =>
+  async (request, signal) => {
+    const first = Number(request.lastEventId ?? 0) + 1;
+    const ids = Array.from({ length: last - first + 1 }, (_, index) => first + index);
+    return answering([...ids.map(event), extra], { isTruncated: breaksOff })(request, signal);
+  };
+
+/** Lets what was sent arrive at the caller. */
+const waitForDelivery = (): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, 50);
   });
-  const server: Server = createServer(async (_request, response: ServerResponse) => {
+
+/** Sends two events, then breaks off. */
+const breaking: Behaviour = async (request, signal) => {
+  const outcome = await answering([])(request, signal);
+  if (outcome.type !== 'answer') return outcome;
+  async function* body(): AsyncGenerator<Buffer> {
+    yield Buffer.from(event(1) + event(2));
+    await waitForDelivery();
+    throw new TruncatedAnswer('reset');
+  }
+  return { type: 'answer', answer: { ...outcome.answer, body: body() } };
+};
+
+/** Sends two events, then nothing until it is aborted. */
+const stalling: Behaviour = async (request, signal) => {
+  const outcome = await answering([])(request, signal);
+  if (outcome.type !== 'answer') return outcome;
+  async function* body(): AsyncGenerator<Buffer> {
+    yield Buffer.from(event(1) + event(2));
+    await new Promise((resolve) => {
+      signal.addEventListener('abort', resolve);
+    });
+    throw new TruncatedAnswer('aborted');
+  }
+  return { type: 'answer', answer: { ...outcome.answer, body: body() } };
+};
+
+interface Reception {
+  status: number;
+  text: string;
+  isComplete: boolean;
+}
+
+const receive = async (response: IncomingMessage): Promise<Reception> => {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of response) chunks.push(chunk as Buffer);
+  } catch {
+    // A destroyed connection; `complete` tells.
+  }
+  const text = Buffer.concat(chunks).toString();
+  return { status: response.statusCode ?? 0, text, isComplete: response.complete };
+};
+
+/** Relays one stream from upstreams with the given behaviours to a caller over HTTP. */
+const relayStream = async (
+  t: ExecutionContext,
+  clock: ManualClock,
+  behaviours: Record<string, Behaviour>,
+  changes: Partial<RelayedRequest> = {},
+) => {
+  const upstreams = newUpstreams(clock, behaviours);
+  const relay = newStreamRelay({ clock, log: silentLog, ...upstreams });
+  const outcomes: RelayOutcome[] = [];
+  const server = createServer(async (_request, response: ServerResponse) => {
     const { signal } = new AbortController();
-    resolveOutcome(await relay(newRequest(clock), response, signal));
-    t.false(response.headersSent);
-    response.end();
+    outcomes.push(await relay(newRequest(clock, changes), response, signal));
+    if (!response.headersSent) response.writeHead(503).end();
   });
   t.teardown(() => server.close());
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  get({ host: '127.0.0.1', port: (server.address() as AddressInfo).port });
-  const result = await outcome;
-  t.is(upstreams.sent.length, 1);
-  t.true(result.type === 'refusal' && !result.hasRun && result.refusal.status === 503);
-  t.true(result.type === 'refusal' && result.refusal.retryAfterMs === 5_000);
+  const { port } = server.address() as AddressInfo;
+  const received = new Promise<Reception>((resolve, reject) => {
+    httpRequest({ host: '127.0.0.1', port }, (response) => resolve(receive(response)))
+      .once('error', reject)
+      .end();
+  });
+  return { received, outcomes, sent: upstreams.sent };
+};
+
+test('a resumable stream continues at another upstream after its last whole event', async (t) => {
+  // An engine crashes in the middle of an event. Guards against events that are missing or repeated.
+  const clock = newManualClock();
+  const crashing: Behaviour = async (request, signal) =>
+    (request.lastEventId === null
+      ? sending(3, { breaksOff: true, extra: 'id: 4\nda' })
+      : sending(5))(request, signal);
+  const { received, sent } = await relayStream(t, clock, { a: crashing, b: crashing });
+  const { status, text, isComplete } = await received;
+  t.is(status, 200);
+  t.is(text, [1, 2, 3, 4, 5].map(event).join(''));
+  t.true(isComplete);
+  t.is(sent[1]?.request.lastEventId, '3');
+});
+
+test('a resumable stream whose upstream falls silent continues at another one', async (t) => {
+  // Guards against a caller that waits on a connection that was forgotten between the two ends.
+  const clock = newManualClock();
+  const behave: Behaviour = (request, signal) =>
+    (request.lastEventId === null ? stalling : sending(4))(request, signal);
+  const { received, outcomes } = await relayStream(t, clock, { a: behave, b: behave });
+  while (outcomes.length === 0) await clock.advance(50);
+  const { text, isComplete } = await received;
+  t.is(text, [1, 2, 3, 4].map(event).join(''));
+  t.true(isComplete);
+});
+
+test('a stream that cannot be resumed ends so that its caller sees it broken', async (t) => {
+  // Guards against part of a stream that a caller takes for the whole of it.
+  const clock = newManualClock();
+  const { received, sent } = await relayStream(
+    t,
+    clock,
+    { a: breaking, b: breaking },
+    { isIdempotent: false },
+  );
+  const { text, isComplete } = await received;
+  t.is(text, event(1) + event(2));
+  t.false(isComplete);
+  t.is(sent.length, 1);
+});
+
+test('a stream that is held back is refused as not run, with the time to come back', async (t) => {
+  // Guards against a stream that ends engines and is tried on each of them in vain.
+  const clock = newManualClock();
+  const behave = holding(clock.now() + 5_000);
+  const { received, outcomes, sent } = await relayStream(t, clock, { a: behave, b: behave });
+  t.is((await received).status, 503);
+  const [result] = outcomes;
+  t.is(sent.length, 1);
+  t.true(result?.type === 'refusal' && !result.hasRun);
+  t.true(result?.type === 'refusal' && result.refusal.retryAfterMs === 5_000);
 });
