A lost answer is asked for again where the upstreams are fewer than the attempts

Change: when all upstreams have been tried, one that broke the answer off is asked again, within the attempts of the route; one that refused or was silent is not. New tests: the lost answers failed before (2 sends, 502); a silent one and a refusing one are not asked again.

--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -46,7 +46,8 @@
   | { type: 'not-run'; reason: string }
   /** Not sent; `retryAt` is on the monotonic clock. */
   | { type: 'held'; retryAt: number }
-  | { type: 'failed'; reason: string };
+  /** May have run; `isSilent` if the upstream did not answer in time. */
+  | { type: 'failed'; reason: string; isSilent: boolean };
 
 /** When an attempt's answer is given up. */
 export const computeAnswerDeadline = ({ deadline }: RelayedRequest): number =>
@@ -79,7 +80,11 @@
           health.recordFailure(entry.id, fault.reason);
         return fault.type === 'not-run'
           ? { type: 'not-run', reason: fault.reason }
-          : { type: 'failed', reason: fault.reason };
+          : {
+              type: 'failed',
+              reason: fault.reason,
+              isSilent: clock.now() >= firstByteDeadline - TIMER_SLACK_MS,
+            };
       }
       const { answer } = outcome;
       if (answer.load) loads.report(entry.id, answer.load);
@@ -87,11 +92,11 @@
       if (body.type === 'truncated') {
         const reason = `answer broken off: ${body.reason}`;
         if (!signal.aborted) health.recordFailure(entry.id, reason);
-        return { type: 'failed', reason };
+        return { type: 'failed', reason, isSilent: false };
       }
       if (answer.status < 300 && answer.signature === null) {
         health.recordFailure(entry.id, 'unsigned answer');
-        return { type: 'failed', reason: 'unsigned answer' };
+        return { type: 'failed', reason: 'unsigned answer', isSilent: false };
       }
       health.recordSuccess(entry.id);
       health.recordLatency(entry.id, clock.now() - startedAt);
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -60,6 +60,9 @@
 
   return async (request: RelayedRequest, signal: AbortSignal): Promise<RelayOutcome> => {
     const tried = new Set<string>();
+    /** Upstreams that broke the request off; they may be asked again if there are no others. */
+    const broken = new Set<string>();
+    let attempts = 0;
     const controllers = new Set<AbortController>();
     const running = new Set<Promise<{ result: Attempt; candidate: Candidate }>>();
     /** Whether an upstream may have run the request. */
@@ -71,7 +74,9 @@
     let heldUntil: number | null = null;
 
     const start = (candidate: Candidate): Promise<{ result: Attempt; candidate: Candidate }> => {
+      attempts += 1;
       tried.add(candidate.entry.id);
+      broken.delete(candidate.entry.id);
       const controller = new AbortController();
       controllers.add(controller);
       return attempt(candidate, request, AbortSignal.any([signal, controller.signal])).then(
@@ -108,13 +113,20 @@
     };
 
     const mayStart = (): boolean =>
-      tried.size < request.maxUpstreams &&
+      attempts < request.maxUpstreams &&
       (request.isIdempotent || !hasRun) &&
       heldUntil === null &&
       !signal.aborted;
 
+    const chooseNext = (): Candidate | null => {
+      const untried = chooseUpstream(candidates(request.service, tried));
+      if (untried || broken.size === 0) return untried;
+      const others = new Set([...tried].filter((id) => !broken.has(id)));
+      return chooseUpstream(candidates(request.service, others));
+    };
+
     const startNext = (): Candidate | null => {
-      const next = mayStart() ? chooseUpstream(candidates(request.service, tried)) : null;
+      const next = mayStart() ? chooseNext() : null;
       if (!next) return null;
       const run = start(next);
       running.add(run);
@@ -171,6 +183,7 @@
           tried.delete(candidate.entry.id);
         } else {
           hasRun = hasRun || result.type === 'failed';
+          if (result.type === 'failed' && !result.isSilent) broken.add(candidate.entry.id);
           lastReason = result.reason;
         }
         if (running.size === 0) newestCandidate = startNext();
--- a/packages/gateway/tests/newPlainRelay.test.ts
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -5,6 +5,7 @@
   answering,
   breaking,
   holding,
+  newEntry,
   newRequest,
   newUpstreams,
   refusing,
@@ -187,3 +188,53 @@
   await clock.advance(1_000);
   await outcome;
 });
+
+test('a request whose answers are lost at all upstreams is sent to one of them again', async (t) => {
+  // Two upstreams are left, and each loses one answer. Guards against a caller that gets a failure
+  // although the route allows a third attempt.
+  let sends = 0;
+  const loseFirstTwo: Behaviour = (request, signal) => {
+    sends += 1;
+    return (sends <= 2 ? breaking : answering(['ok']))(request, signal);
+  };
+  const { clock, relay, sent } = newTestRelay({ a: loseFirstTwo, b: loseFirstTwo });
+  const result = await relay(newRequest(clock, { maxUpstreams: 3 }), neverAborted);
+  t.is(result.type, 'answer');
+  t.is(sent.length, 3);
+  t.is(new Set(sent.map(({ upstream }) => upstream)).size, 2);
+});
+
+test('a silent upstream is not asked again for the same request', async (t) => {
+  // Guards against a caller that waits for the only upstream a second time.
+  const clock = newManualClock();
+  const timingOut: Behaviour = async () => {
+    await clock.sleepUntil(clock.now() + 1_000);
+    return { type: 'fault', fault: { type: 'unknown', reason: 'no answer in time' } };
+  };
+  const { relay, sent } = newTestRelay({ only: timingOut }, clock);
+  const outcome = relay(newRequest(clock), neverAborted);
+  await clock.advance(1_050);
+  const result = await outcome;
+  t.true(result.type === 'refusal' && result.refusal.status === 502);
+  t.is(sent.length, 1);
+});
+
+test('an upstream that refuses a request is not asked again for it', async (t) => {
+  // Guards against refusals that are repeated at once to upstreams that are full.
+  const { clock, relay, sent } = newTestRelay({ a: refusing, b: refusing });
+  await relay(newRequest(clock, { maxUpstreams: 6 }), neverAborted);
+  t.is(sent.length, 2);
+});
+
+test('a leaving upstream gets no new request, however it leaves', async (t) => {
+  // Some upstreams announce that they leave; the entry of others is deleted while they still serve.
+  const { clock, relay, sent, directory } = newTestRelay({
+    draining: answering(['ok']),
+    deleted: answering(['ok']),
+    staying: answering(['ok']),
+  });
+  directory.put({ ...newEntry('draining'), isDraining: true });
+  directory.remove('deleted');
+  for (let count = 0; count < 5; count += 1) await relay(newRequest(clock), neverAborted);
+  t.deepEqual([...new Set(sent.map(({ upstream }) => upstream))], ['staying']);
+});
