--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -1,6 +1,7 @@
 import parseNamedVersion from '@cyclamengate/adapter/parseNamedVersion';
 import parseOperatorSettings from '@cyclamengate/adapter/parseOperatorSettings';
 import parseUpstream from '@cyclamengate/adapter/parseUpstream';
+import type { Peers } from '@cyclamengate/batches/newPeers';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { NewestVersion } from '@cyclamengate/engines/findDueLoads';
@@ -19,6 +20,9 @@
 const UPSTREAMS_READ_INTERVAL_MS = 200;
 /** A read that was lost in a network partition holds up the next for this and the store's timeout. */
 const READ_WAIT_MS = 500;
+/** Above the longest wait of a read, so that peers are only asked while the store does not answer. */
+const MAX_SETTINGS_AGE_MS = 2_000;
+const PEER_ASK_INTERVAL_MS = 1_000;
 
 export interface FollowPlatformOptions {
   clock: Clock;
@@ -26,19 +30,20 @@
   store: Store;
   settingsView: SettingsView;
   directory: Directory;
+  peers: Pick<Peers, 'fetchNewerSettings'>;
   /** Factor by which the time between reads grows with the number of hosts. */
   readIntervalFactor: () => number;
 }
 
 /** Follows the operator's settings, the newest version of each model and the list of upstreams. */
 const followPlatform = (options: FollowPlatformOptions) => {
-  const { clock, log, store, settingsView, directory, readIntervalFactor } = options;
+  const { clock, log, store, settingsView, directory, peers, readIntervalFactor } = options;
   const versions = new Map<string, NewestVersion>();
 
-  const applySettings = (value: Buffer, offset: number): void => {
+  const applySettings = (value: Buffer, from: string): void => {
     const settings = parseOperatorSettings(value);
-    if (settings.ok) settingsView.put(settings.val);
-    else log.error('settings.unreadable', { offset, problems: settings.val.slice(0, 5) });
+    if (settings.ok) settingsView.put(settings.val, value.toString());
+    else log.error('settings.unreadable', { from, problems: settings.val.slice(0, 5) });
   };
 
   const applyVersion = (value: Buffer, offset: number): void => {
@@ -54,7 +59,7 @@
 
   const applyOperatorRecord = ({ key, value, offset }: KeyedRecord): void => {
     if (value === null) return;
-    if (key === SETTINGS_KEY) applySettings(value, offset);
+    if (key === SETTINGS_KEY) applySettings(value, `offset ${offset}`);
     else if (key.startsWith(VERSION_PREFIX)) applyVersion(value, offset);
   };
 
@@ -90,9 +95,27 @@
     onRecovered: directory.startGracePeriod,
   });
 
+  /**
+   * A host that alone does not reach the store would accept withdrawn keys until it does, although
+   * its peers know better.
+   */
+  const askPeers = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      const next = clock.now() + PEER_ASK_INTERVAL_MS;
+      const isStale = clock.now() >= operatorFollower.freshAt() + MAX_SETTINGS_AGE_MS;
+      const sources = isStale ? await peers.fetchNewerSettings(settingsView.version()) : [];
+      sources.forEach((source) => applySettings(Buffer.from(source), 'peer'));
+      await clock.sleepUntil(next, signal);
+    }
+  };
+
   return {
     run: async (signal: AbortSignal): Promise<void> => {
-      await Promise.all([operatorFollower.run(signal), upstreamsFollower.run(signal)]);
+      await Promise.all([
+        operatorFollower.run(signal),
+        upstreamsFollower.run(signal),
+        askPeers(signal),
+      ]);
     },
     /** The newest version of a model that its trainer has published; 1 before the first. */
     newestVersion: (model: string): NewestVersion =>
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -119,6 +119,7 @@
     coordination,
     isLeaving: () => isLeaving,
     crashHistory,
+    findNewerSettings: settingsView.findNewerSource,
   });
   const peers = newPeers({
     clock,
@@ -149,6 +150,7 @@
     store,
     settingsView,
     directory,
+    peers,
     readIntervalFactor: coordination.readIntervalFactor,
   });
   const allowedLags = newAllowedLags();
--- a/apps/host/src/newPeerService.ts
+++ b/apps/host/src/newPeerService.ts
@@ -14,6 +14,7 @@
   coordination: Coordination;
   isLeaving: () => boolean;
   crashHistory: CrashHistory;
+  findNewerSettings: PeerService['findNewerSettings'];
 }
 
 /** The procedures that this host provides to its peers. */
@@ -42,6 +43,7 @@
       crashes.forEach(crashHistory.merge);
       return crashHistory.newest(MAX_EXCHANGED_CRASHES);
     },
+    findNewerSettings: options.findNewerSettings,
     touch: batchStore.checkStoreAccess,
   };
 };
--- /dev/null
+++ b/apps/host/tests/followPlatform.test.ts
@@ -0,0 +1,89 @@
+import { CUSTOMER_KEY, newOperatorSettings } from '@cyclamengate/app-platform-standin/newPlatform';
+import newDirectory from '@cyclamengate/engines/newDirectory';
+import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import newSettingsView from '@cyclamengate/gateway/newSettingsView';
+import newMemoryStore, { encodeKeyedBody, newNoFaults } from '@cyclamengate/store/newMemoryStore';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import followPlatform from '../src/followPlatform.js';
+
+const silentLog = { info: () => {}, warn: () => {}, error: () => {} };
+
+const publish = (memory: ReturnType<typeof newMemoryStore>, value: unknown): void => {
+  memory.put('keyed.op', [encodeKeyedBody('config', JSON.stringify(value))]);
+};
+
+/** A host that follows the store, and a peer whose settings are those of the store. */
+const newFollower = (t: ExecutionContext) => {
+  const clock = newManualClock();
+  const memory = newMemoryStore();
+  const faults = newNoFaults();
+  const settingsView = newSettingsView(silentLog);
+  const peerView = newSettingsView(silentLog);
+  const asked: number[] = [];
+  const newParts = (view: typeof settingsView) => ({
+    clock,
+    log: silentLog,
+    settingsView: view,
+    directory: newDirectory(clock, silentLog),
+    readIntervalFactor: () => 1,
+  });
+  const host = followPlatform({
+    ...newParts(settingsView),
+    store: memory.newView(faults),
+    peers: {
+      fetchNewerSettings: async (version) => {
+        asked.push(version);
+        const source = peerView.findNewerSource(version);
+        return source === null ? [] : [source];
+      },
+    },
+  });
+  const peer = followPlatform({
+    ...newParts(peerView),
+    store: memory.newView(),
+    peers: { fetchNewerSettings: async () => [] },
+  });
+  const controller = new AbortController();
+  host.run(controller.signal);
+  peer.run(controller.signal);
+  t.teardown(() => controller.abort());
+  /** Reads of the memory store wait in real time. */
+  const waitFor = async (isMet: () => boolean): Promise<void> => {
+    while (!isMet()) {
+      await clock.advance(50);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1);
+      });
+    }
+  };
+  return { clock, memory, faults, settingsView, asked, waitFor };
+};
+
+test('a host that alone does not reach the store learns of a withdrawn key from its peers', async (t) => {
+  // Guards against a withdrawn key that still works at the hosts which the store turns away.
+  const { memory, faults, settingsView, waitFor } = newFollower(t);
+  publish(memory, newOperatorSettings(1));
+  await waitFor(() => settingsView.version() === 1);
+  t.true(settingsView.read()?.customersByKey.has(CUSTOMER_KEY));
+  faults.isRefusing = true;
+  publish(memory, { ...newOperatorSettings(2), tenants: [] });
+  await waitFor(() => settingsView.version() === 2);
+  t.false(settingsView.read()?.customersByKey.has(CUSTOMER_KEY));
+});
+
+test('peers are not asked for settings while the store answers', async (t) => {
+  const { clock, memory, faults, settingsView, asked, waitFor } = newFollower(t);
+  publish(memory, newOperatorSettings(1));
+  await waitFor(() => settingsView.version() === 1);
+  const askedAtStart = asked.length;
+  for (let version = 2; version <= 41; version += 1) {
+    publish(memory, newOperatorSettings(version));
+    await waitFor(() => settingsView.version() === version);
+    await clock.advance(100);
+  }
+  t.is(asked.length, askedAtStart);
+  faults.isRefusing = true;
+  await waitFor(() => asked.length > askedAtStart);
+  t.is(asked.at(-1), 41);
+});
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -158,6 +158,21 @@
       );
       return answers.flatMap((answer) => (answer.type === 'answer' ? answer.value : []));
     },
+    /** Asks some peers for the operator's settings that are newer than a version. */
+    fetchNewerSettings: async (version: number): Promise<string[]> => {
+      const chosen = choosePeers(readPeers(), failureDomain, random);
+      const answers = await Promise.all(
+        chosen.map((peer) =>
+          ask(peer, CALL_TIMEOUT_MS, {
+            name: 'findNewerSettings',
+            run: (client, signal) => client.findNewerSettings.query(version, { signal }),
+          }),
+        ),
+      );
+      return answers.flatMap((answer) =>
+        answer.type === 'answer' && answer.value !== null ? [answer.value] : [],
+      );
+    },
     /** Asks some peers to write a record; returns as soon as one has written it. */
     write: async (record: BatchChange): Promise<WriteOutcome> => {
       const chosen = choosePeers(readPeers(), failureDomain, random);
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -62,6 +62,8 @@
   announce: (heartbeat: Heartbeat) => Promise<boolean>;
   /** Merges the sender's crashes of upstreams into this host's; @returns this host's. */
   exchangeCrashes: (crashes: UpstreamCrash[]) => UpstreamCrash[];
+  /** The operator's settings as published if they are newer than a version; null if not. */
+  findNewerSettings: (version: number) => string | null;
   /** How well this host can read the batches from the store. */
   touch: () => Promise<StoreReachability>;
 }
@@ -82,6 +84,9 @@
     exchangeCrashes: t.procedure
       .input(z.array(upstreamCrashSchema).max(MAX_EXCHANGED_CRASHES))
       .mutation(({ input }) => service.exchangeCrashes(input)),
+    findNewerSettings: t.procedure
+      .input(z.int())
+      .query(({ input }) => service.findNewerSettings(input)),
     touch: t.procedure.query(() => service.touch()),
   });
 
--- a/packages/batches/tests/newPeers.test.ts
+++ b/packages/batches/tests/newPeers.test.ts
@@ -107,3 +107,14 @@
   other.server.close();
   t.false(await newCaller([]).announce(heartbeat));
 });
+
+test('peers return newer settings and exchange what they know of crashed upstreams', async (t) => {
+  const other = await newPeer('b', true);
+  t.teardown(() => other.server.close());
+  const caller = newCaller([other.peer]);
+  t.deepEqual(await caller.fetchNewerSettings(1), ['version 2']);
+  t.deepEqual(await caller.fetchNewerSettings(2), []);
+  const crash = { digest: 'deadly', upstream: 'a@1', endedAt: 1 };
+  t.deepEqual(await caller.exchangeCrashes([crash]), []);
+  t.deepEqual(await caller.exchangeCrashes([]), [crash]);
+});
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -44,6 +44,7 @@
       crashesHere.push(...crashes);
       return known;
     },
+    findNewerSettings: (version) => (version < 2 ? 'version 2' : null),
     touch: async () => (acceptsWork ? 'steady' : 'none'),
   });
   const [answer] = server.listeners('request') as ((...args: unknown[]) => void)[];
--- a/packages/gateway/src/newSettingsView.ts
+++ b/packages/gateway/src/newSettingsView.ts
@@ -33,15 +33,18 @@
 /** Holds the settings in force on this host, which are never replaced by an older version. */
 const newSettingsView = (log: EventLog) => {
   let effective: EffectiveSettings | null = null;
+  let sourceInForce: string | null = null;
 
   return {
-    put: (settings: OperatorSettings): void => {
+    /** @param source the settings as the operator published them, for hosts that lack them */
+    put: (settings: OperatorSettings, source: string | null = null): void => {
       const before = effective?.settings.version ?? -1;
       if (settings.version <= before) {
         log.warn('settings.older', { version: settings.version, inForce: before });
         return;
       }
       effective = indexSettings(settings);
+      sourceInForce = source;
       log.info('settings.in-force', {
         version: settings.version,
         before,
@@ -51,6 +54,10 @@
       });
     },
     read: (): EffectiveSettings | null => effective,
+    version: (): number => effective?.settings.version ?? -1,
+    /** The source of the settings in force if they are newer than a version; null if not. */
+    findNewerSource: (version: number): string | null =>
+      (effective?.settings.version ?? -1) > version ? sourceInForce : null,
   };
 };
 
