Expired crashes are deleted from the store also if no host remembers them

Found in reading the diff: the owner deleted only what it had remembered itself, so records of an earlier owner stayed for ever; and an upstream's id with a slash was parsed wrongly. The new test failed before (the record stayed).

--- a/apps/host/src/newCrashSharing.ts
+++ b/apps/host/src/newCrashSharing.ts
@@ -37,7 +37,18 @@
   readIntervalFactor: () => number;
 }
 
-const formatKey = ({ digest, upstream }: UpstreamCrash): string => `${digest}/${upstream}`;
+const KEY_SEPARATOR = '/';
+
+const formatKey = ({ digest, upstream }: UpstreamCrash): string =>
+  `${digest}${KEY_SEPARATOR}${upstream}`;
+
+/** A digest has no separator, but an upstream's name may have one. */
+const parseKey = (key: string): Pick<UpstreamCrash, 'digest' | 'upstream'> => {
+  const position = key.indexOf(KEY_SEPARATOR);
+  return { digest: key.slice(0, position), upstream: key.slice(position + 1) };
+};
+
+const parseCrash = (value: Buffer) => restore(upstreamCrashSchema, parseRecord(value));
 
 /**
  * Shares with all hosts which requests ran on upstreams that ended: through the store, and directly
@@ -62,11 +73,11 @@
 
   const apply = ({ key, value, offset }: KeyedRecord): void => {
     if (value === null) {
-      const [digest = '', upstream = ''] = key.split('/');
+      const { digest, upstream } = parseKey(key);
       history.remove(digest, upstream);
       return;
     }
-    const crash = restore(upstreamCrashSchema, parseRecord(value));
+    const crash = parseCrash(value);
     if (crash.ok) addReceived(crash.val, 'store');
     else log.warn('record.unreadable', { topic: TOPIC, offset, problems: crash.val.slice(0, 3) });
   };
@@ -93,11 +104,22 @@
     }
   };
 
+  /** Reads the store's records, since no host may still remember those that are too old. */
+  const deleteExpired = async (signal: AbortSignal): Promise<void> => {
+    const snapshot = await store.newest(TOPIC, signal);
+    if (!snapshot.ok) return;
+    const expired = snapshot.val.records.flatMap(({ value }) => {
+      const crash = value && parseCrash(value);
+      return crash?.ok && history.isExpired(crash.val) ? [crash.val] : [];
+    });
+    if (expired.length > 0) await write(expired, true);
+  };
+
   const expire = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       await clock.sleepUntil(clock.now() + EXPIRY_INTERVAL_MS, signal);
-      const expired = history.forgetExpired();
-      if (expired.length > 0 && isOwner()) await write(expired, true);
+      history.forgetExpired();
+      if (isOwner()) await deleteExpired(signal);
     }
   };
 
--- a/apps/host/tests/newCrashSharing.test.ts
+++ b/apps/host/tests/newCrashSharing.test.ts
@@ -2,7 +2,7 @@
 import type { CrashHistory } from '@cyclamengate/engines/newCrashHistory';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import type { ManualClock } from '@cyclamengate/fakes/newManualClock';
-import newMemoryStore, { newNoFaults } from '@cyclamengate/store/newMemoryStore';
+import newMemoryStore, { encodeKeyedBody, newNoFaults } from '@cyclamengate/store/newMemoryStore';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import newCrashSharing from '../src/newCrashSharing.js';
@@ -114,11 +114,14 @@
   t.deepEqual(second.history.upstreamsOf('deadly'), ['a@1']);
 });
 
-test('expired crashes are deleted from the store', async (t) => {
+test('expired crashes are deleted from the store, also those of hosts that are gone', async (t) => {
   const { clock, memory, startHost } = newSystem(t);
+  const gone = { digest: 'deadly', upstream: 'a/1@1', endedAt: clock.wallTime() - 900_000 };
+  memory.put('keyed.crashes', [encodeKeyedBody('deadly/a/1@1', JSON.stringify(gone))]);
   const owner = startHost('owner', true);
-  addCrash(clock, owner, 'a@1');
+  addCrash(clock, owner, 'b@1');
   await waitFor(clock, () => memory.newest('keyed.crashes').records.length === 1);
+  t.deepEqual(owner.history.upstreamsOf('deadly'), ['b@1']);
   await clock.advance(900_000);
   await waitFor(clock, () => memory.newest('keyed.crashes').records.length === 0);
   t.is(owner.history.size(), 0);
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -6,7 +6,7 @@
 import newBatchDispatcher, { CALL_TIMEOUT_MS } from './newBatchDispatcher.js';
 import type { BeginCandidate, BatchDispatcherOptions } from './newBatchDispatcher.js';
 import newPeerCalls from './newPeerCalls.js';
-import type { PeerAnswer } from './newPeerCalls.js';
+import type { PeerAnswer, PeerCall } from './newPeerCalls.js';
 import { writeOutcomeSchema } from './peerRouter.js';
 import type { StoreReachability } from './peerRouter.js';
 
@@ -79,6 +79,13 @@
     return answer.type === 'answer' ? writeOutcomeSchema.parse(answer.value) : 'unknown';
   };
 
+  /** Calls some peers; @returns the values of those that answer. */
+  const askSome = async <Value>(call: PeerCall<Value>): Promise<Value[]> => {
+    const chosen = choosePeers(readPeers(), failureDomain, random);
+    const answers = await Promise.all(chosen.map((peer) => ask(peer, CALL_TIMEOUT_MS, call)));
+    return answers.flatMap((answer) => (answer.type === 'answer' ? [answer.value] : []));
+  };
+
   const peersByName = (): Map<string, Peer> =>
     new Map(readPeers().map((peer) => [peer.host, peer]));
 
@@ -147,31 +154,19 @@
      * @returns the crashes that the peers know
      */
     exchangeCrashes: async (crashes: UpstreamCrash[]): Promise<UpstreamCrash[]> => {
-      const chosen = choosePeers(readPeers(), failureDomain, random);
-      const answers = await Promise.all(
-        chosen.map((peer) =>
-          ask(peer, CALL_TIMEOUT_MS, {
-            name: 'exchangeCrashes',
-            run: (client, signal) => client.exchangeCrashes.mutate(crashes, { signal }),
-          }),
-        ),
-      );
-      return answers.flatMap((answer) => (answer.type === 'answer' ? answer.value : []));
+      const known = await askSome({
+        name: 'exchangeCrashes',
+        run: (client, signal) => client.exchangeCrashes.mutate(crashes, { signal }),
+      });
+      return known.flat();
     },
     /** Asks some peers for the operator's settings that are newer than a version. */
     fetchNewerSettings: async (version: number): Promise<string[]> => {
-      const chosen = choosePeers(readPeers(), failureDomain, random);
-      const answers = await Promise.all(
-        chosen.map((peer) =>
-          ask(peer, CALL_TIMEOUT_MS, {
-            name: 'findNewerSettings',
-            run: (client, signal) => client.findNewerSettings.query(version, { signal }),
-          }),
-        ),
-      );
-      return answers.flatMap((answer) =>
-        answer.type === 'answer' && answer.value !== null ? [answer.value] : [],
-      );
+      const sources = await askSome({
+        name: 'findNewerSettings',
+        run: (client, signal) => client.findNewerSettings.query(version, { signal }),
+      });
+      return sources.filter((source) => source !== null);
     },
     /** Asks some peers to write a record; returns as soon as one has written it. */
     write: async (record: BatchChange): Promise<WriteOutcome> => {
--- a/packages/engines/src/computeHoldMs.ts
+++ b/packages/engines/src/computeHoldMs.ts
@@ -1,4 +1,4 @@
-/** Every second crash could be a coincidence; a request is held from its second on. */
+/** A request may be running by chance on an upstream that crashes; twice is rare. */
 const MIN_CRASHES = 2;
 const INITIAL_HOLD_MS = 1_000;
 /** A request that crashes all upstreams ends one at 0, 1, 6, 31 and 156 s. */
--- a/packages/engines/src/newCrashHistory.ts
+++ b/packages/engines/src/newCrashHistory.ts
@@ -29,6 +29,12 @@
   const addedListeners: ((crash: UpstreamCrash) => void)[] = [];
   const answeredListeners: ((crashes: UpstreamCrash[]) => void)[] = [];
 
+  const remember = (crash: UpstreamCrash): RememberedCrash => {
+    // A clock that is ahead must not extend the hold.
+    const ageMs = Math.max(0, clock.wallTime() - crash.endedAt);
+    return { crash, endedAt: clock.now() - ageMs };
+  };
+
   const isExpired = ({ endedAt }: RememberedCrash): boolean =>
     clock.now() >= endedAt + RETENTION_MS;
 
@@ -53,9 +59,7 @@
 
   /** @returns whether the crash is new to this host */
   const merge = (crash: UpstreamCrash): boolean => {
-    // A clock that is ahead must not extend the hold.
-    const ageMs = Math.max(0, clock.wallTime() - crash.endedAt);
-    const remembered = { crash, endedAt: clock.now() - ageMs };
+    const remembered = remember(crash);
     const history = histories.get(crash.digest);
     if (history?.crashes.has(crash.upstream) || isExpired(remembered)) return false;
     const crashes = new Map([...(history?.crashes ?? []), [crash.upstream, remembered]]);
@@ -90,12 +94,13 @@
     onAnswered: (listener: (crashes: UpstreamCrash[]) => void): void => {
       answeredListeners.push(listener);
     },
-    /** Forgets the crashes that are too old; @returns them. */
-    forgetExpired: (): UpstreamCrash[] => {
-      const expired = listCrashes().filter(isExpired);
-      expired.forEach(({ crash }) => remove(crash.digest, crash.upstream));
-      return expired.map(({ crash }) => crash);
-    },
+    /** Whether a crash is too old to be remembered. */
+    isExpired: (crash: UpstreamCrash): boolean => isExpired(remember(crash)),
+    /** Forgets the crashes that are too old. */
+    forgetExpired: (): void =>
+      listCrashes()
+        .filter(isExpired)
+        .forEach(({ crash }) => remove(crash.digest, crash.upstream)),
     /**
      * Starts a run of a request unless it is held. One run at a time is tried after a hold.
      * @returns when the request may run, on the monotonic clock; null if it may run now
--- a/packages/engines/tests/newCrashHistory.test.ts
+++ b/packages/engines/tests/newCrashHistory.test.ts
@@ -81,10 +81,13 @@
   const { clock, history, newCrash } = newHistory();
   history.add(newCrash('a@1'));
   await clock.advance(899_000);
-  t.deepEqual(history.forgetExpired(), []);
+  history.forgetExpired();
+  t.is(history.size(), 1);
   await clock.advance(1_000);
-  t.is(history.forgetExpired().length, 1);
+  history.forgetExpired();
   t.is(history.size(), 0);
+  t.true(history.isExpired({ ...newCrash('a@1'), endedAt: clock.wallTime() - 900_000 }));
+  t.false(history.isExpired(newCrash('a@1')));
   t.false(history.merge({ ...newCrash('a@1'), endedAt: clock.wallTime() - 900_000 }));
   for (let index = 0; index < 3_000; index += 1) history.add(newCrash('a@1', `request-${index}`));
   t.true(history.size() <= 1_024);
