--- a/apps/host/tests/deadlyRequest.process.test.ts
+++ b/apps/host/tests/deadlyRequest.process.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import { batchBody, readPage, submit } from './batchHelpers.js';
-import { send, waitUntil } from './newHosts.js';
+import { send, sleep, waitUntil } from './newHosts.js';
 import { newSystem } from './testSystem.js';
 
 const DEADLY_BODY = 'prompt 0';
@@ -11,11 +11,6 @@
 /** Longer than a crashed upstream of the stand-in is down. */
 const ROUND_MS = 500;
 
-const sleep = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 test.serial(
   'a request that ends each upstream that runs it is stopped at every host',
   async (t) => {
--- a/apps/host/tests/newHosts.ts
+++ b/apps/host/tests/newHosts.ts
@@ -65,13 +65,14 @@
   };
 };
 
+export const sleep = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
 /** Polls a condition until it is met; the timeout of the test ends a wait that never succeeds. */
 export const waitUntil = async (isMet: () => Promise<boolean> | boolean): Promise<void> => {
-  while (!(await isMet())) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, 25);
-    });
-  }
+  while (!(await isMet())) await sleep(25);
 };
 
 export const isReady = async ({ readiness }: TestHost): Promise<boolean> => {
--- a/apps/host/tests/outage.process.test.ts
+++ b/apps/host/tests/outage.process.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { send, waitUntil } from './newHosts.js';
+import { send, sleep, waitUntil } from './newHosts.js';
 import { newSystem } from './testSystem.js';
 
 const LOOKUPS = 9;
@@ -9,11 +9,6 @@
 /** Time after the outage within which its usage must be reported. */
 const REPORT_MS = 10_000;
 
-const sleep = (durationMs: number): Promise<void> =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 /** Sends lookups to all hosts while the store is silent; @returns their statuses. */
 const lookUpInOutage = async (t: ExecutionContext) => {
   const { platform, first, second, third, close } = await newSystem(1);
--- a/packages/engines/tests/newCrashGuard.test.ts
+++ b/packages/engines/tests/newCrashGuard.test.ts
@@ -1,3 +1,4 @@
+import newMetrics from '@cyclamengate/common/newMetrics';
 import { newManualClock, settle } from '@cyclamengate/fakes/newManualClock';
 import test from 'ava';
 import newCrashGuard from '../src/newCrashGuard.js';
@@ -9,14 +10,6 @@
 import type { UpstreamEntry } from '../src/upstreamEntry.js';
 import { newEntry, silentLog } from './helpers.js';
 
-const silentMetrics = {
-  count: () => {},
-  readCounter: () => 0,
-  gauge: () => {},
-  observe: () => {},
-  text: () => '',
-};
-
 async function* yieldBody(text: string, isTruncated: boolean): AsyncGenerator<Buffer> {
   yield Buffer.from(text);
   if (isTruncated) throw new TruncatedAnswer('reset');
@@ -83,7 +76,7 @@
   const guard = newCrashGuard({
     clock,
     log: silentLog,
-    metrics: silentMetrics,
+    metrics: newMetrics(),
     client: new FakeClient(),
     directory,
     history,
--- a/packages/gateway/tests/deadlyRequest.load.test.ts
+++ b/packages/gateway/tests/deadlyRequest.load.test.ts
@@ -1,3 +1,4 @@
+import newMetrics from '@cyclamengate/common/newMetrics';
 import newCrashGuard from '@cyclamengate/engines/newCrashGuard';
 import newCrashHistory from '@cyclamengate/engines/newCrashHistory';
 import UpstreamClient from '@cyclamengate/engines/UpstreamClient';
@@ -27,14 +28,6 @@
 const MAX_CALLER_WAIT_MS = 400;
 const DEADLY_BODY = 'deadly';
 
-const silentMetrics = {
-  count: () => {},
-  readCounter: () => 0,
-  gauge: () => {},
-  observe: () => {},
-  text: () => '',
-};
-
 interface Upstream {
   entry: UpstreamEntry;
   running: number;
@@ -128,7 +121,7 @@
     const client = newCrashGuard({
       clock,
       log: silentLog,
-      metrics: silentMetrics,
+      metrics: newMetrics(),
       client: service.client,
       directory,
       history,
