--- a/packages/engines/src/newCrashGuard.ts
+++ b/packages/engines/src/newCrashGuard.ts
@@ -27,6 +27,17 @@
   onEnded: (entry: UpstreamEntry) => void;
 }
 
+/** A run that its upstream broke off. */
+interface BrokenRun {
+  entry: UpstreamEntry;
+  request: UpstreamRequest;
+  reason: string;
+  /** On the monotonic clock. */
+  startedAt: number;
+  /** Bytes of the answer's body that arrived. */
+  receivedBytes: number;
+}
+
 /** A run that an upstream broke off while its address still accepted connections. */
 interface UnexplainedBreak {
   crash: UpstreamCrash;
@@ -61,11 +72,9 @@
     return listed !== undefined && !listed.isDraining && isSameIncarnation(listed, entry);
   };
 
-  const recordBreak = async (
-    entry: UpstreamEntry,
-    request: UpstreamRequest,
-    reason: string,
-  ): Promise<void> => {
+  const recordBreak = async (run: BrokenRun): Promise<void> => {
+    const { entry, request, reason, startedAt, receivedBytes } = run;
+    const ranForMs = Math.round(clock.now() - startedAt);
     const wasStaying = isStaying(entry);
     const digest = computeRequestDigest(request);
     const crash = { digest, upstream: getIncarnationKey(entry), endedAt: clock.wallTime() };
@@ -83,8 +92,13 @@
     log.warn('run.broken-off', {
       requestId: request.requestId,
       digest,
+      customer: request.customer,
+      path: request.path,
       upstream: entry.id,
+      service: entry.service,
       reason,
+      receivedBytes,
+      ranForMs,
       hasEnded,
       wasStaying,
       endedUpstreams: history.upstreamsOf(digest),
@@ -99,13 +113,19 @@
     { body }: UpstreamAnswer,
     entry: UpstreamEntry,
     request: UpstreamRequest,
+    startedAt: number,
     signal: AbortSignal,
   ): AsyncGenerator<Buffer> {
+    let receivedBytes = 0;
     try {
-      yield* body;
+      for await (const chunk of body) {
+        receivedBytes += chunk.length;
+        yield chunk;
+      }
     } catch (error) {
-      const isBroken = error instanceof TruncatedAnswer && !signal.aborted;
-      if (isBroken) await recordBreak(entry, request, error.message);
+      if (error instanceof TruncatedAnswer && !signal.aborted) {
+        await recordBreak({ entry, request, reason: error.message, startedAt, receivedBytes });
+      }
       throw error;
     }
     recordAnswer(request);
@@ -132,9 +152,10 @@
       const digest = history.size() === 0 ? null : computeRequestDigest(request);
       const retryAt = digest === null ? null : history.start(digest);
       if (digest !== null && retryAt !== null) return hold(request, digest, retryAt);
+      const startedAt = clock.now();
       const outcome = await super.send(entry, request, firstByteDeadline, signal);
       if (outcome.type === 'answer') {
-        const body = readBody(outcome.answer, entry, request, signal);
+        const body = readBody(outcome.answer, entry, request, startedAt, signal);
         return { type: 'answer', answer: { ...outcome.answer, body } };
       }
       const { fault } = outcome;
@@ -142,7 +163,8 @@
       if (fault.type === 'unknown' && !signal.aborted) {
         // The caller retries after a broken connection at once, and has to know of the crash then. A
         // silent upstream has already cost the whole timeout.
-        const recorded = recordBreak(entry, request, fault.reason);
+        const { reason } = fault;
+        const recorded = recordBreak({ entry, request, reason, startedAt, receivedBytes: 0 });
         if (clock.now() < firstByteDeadline) await recorded;
       }
       return outcome;
