--- a/apps/host/tests/deadlyRequest.process.test.ts
+++ b/apps/host/tests/deadlyRequest.process.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import { batchBody, readPage, submit } from './batchHelpers.js';
 import { send, sleep, waitUntil } from './newHosts.js';
+import type { TestHost } from './newHosts.js';
 import { newSystem } from './testSystem.js';
 
 const DEADLY_BODY = 'prompt 0';
@@ -40,6 +41,25 @@
   },
 );
 
+const knowsCrash = ({ events }: TestHost): boolean =>
+  events.some(({ event }) => event === 'crash.received');
+
+test.serial('a request that ended an upstream is not sent to the last one', async (t) => {
+  // Guards against one request that leaves all other callers of a service without an upstream.
+  const { platform, first, second, third, close } = await newSystem(1);
+  t.teardown(close);
+  platform.plain.forEach(({ faults }) => Object.assign(faults, { deadlyBody: DEADLY_BODY }));
+  for (const [index, host] of [first, second, third].entries()) {
+    const id = `deadly-${index}`;
+    const { status } = await send(host, 'POST', '/lookup/9', { id, body: DEADLY_BODY });
+    t.true(status === 502 || status === 503, `status ${status}`);
+    const innocent = await send(second, 'POST', '/lookup/9', { id: `other-${index}`, body: 'x' });
+    t.is(innocent.status, 200);
+    t.true(platform.plain.some(({ server }) => server.listening));
+    await waitUntil(() => [second, third].every(knowsCrash));
+  }
+});
+
 /** A batch in which one item crashes engines, and the scoring call of another crashes upstreams. */
 const deadlyBatchBody = (): string => {
   const batch = JSON.parse(batchBody('b1', 3, 4)) as { entries: { scorer: { body: string } }[] };
@@ -68,3 +88,45 @@
     });
   },
 );
+
+const DEADLY_PROMPT = 'ab12:600,cd34:16';
+const BATCHES = 4;
+
+/** A batch whose first item has a prompt that crashes engines; its body differs from batch to batch. */
+const deadlyPromptBody = (name: string): string => {
+  const batch = JSON.parse(batchBody(name, 3, 4)) as {
+    entries: { headers: Record<string, string>; body: string }[];
+  };
+  const [first] = batch.entries;
+  if (first) {
+    first.headers['Prompt-Prefix'] = DEADLY_PROMPT;
+    first.body = Buffer.from(`copy of ${name}`).toString('base64');
+  }
+  return JSON.stringify(batch);
+};
+
+test.serial(
+  'copies of a deadly prompt that differ in their bodies are stopped together',
+  async (t) => {
+    // Guards against a prompt that ends as many engines again with each batch that brings it.
+    const { platform, system, first, second, third, close } = await newSystem();
+    t.teardown(close);
+    platform.engines.forEach(({ faults }) =>
+      Object.assign(faults, { deadlyPrompt: DEADLY_PROMPT }),
+    );
+    const hosts = [first, second, third];
+    for (let index = 0; index < BATCHES; index += 1) {
+      const host = hosts[index % hosts.length] ?? first;
+      const name = `b${index}`;
+      t.is((await submit(host, name, deadlyPromptBody(name))).status, 202);
+      await waitUntil(async () => {
+        const page = await readPage(host, name).catch(() => null);
+        return page?.results.length === 11;
+      });
+    }
+    await sleep(ROUNDS * ROUND_MS);
+    const endedCount = platform.engines.reduce((sum, { crashCount }) => sum + crashCount(), 0);
+    t.true(endedCount <= MAX_ENDED + MAX_RETRIES, `${endedCount} engines ended`);
+    t.true(system.hosts.some(({ events }) => events.some(({ event }) => event === 'request.held')));
+  },
+);
--- a/apps/platform-standin/src/newEngineServer.ts
+++ b/apps/platform-standin/src/newEngineServer.ts
@@ -18,6 +18,8 @@
   hasWrongAttemptId: boolean;
   /** A request with this body crashes the engine after its first event. */
   deadlyBody: string | null;
+  /** A request with this prompt crashes the engine before its first event. */
+  deadlyPrompt: string | null;
 }
 
 /** A request that this engine ran. */
@@ -56,6 +58,7 @@
     slowdownFactor: 1,
     hasWrongAttemptId: false,
     deadlyBody: null,
+    deadlyPrompt: null,
   };
   const versions = new Map(models.map((model) => [model, 1]));
   const loading = new Set<string>();
@@ -128,6 +131,10 @@
         setTimeout(resolve, EVENT_INTERVAL_MS * faults.slowdownFactor);
       });
       if (response.destroyed) return;
+      if (faults.deadlyPrompt !== null && headers['prompt-prefix'] === faults.deadlyPrompt) {
+        crash();
+        return;
+      }
       if (faults.resetAfterEvents !== null && event - lastEventId > faults.resetAfterEvents) {
         request.socket.resetAndDestroy();
         return;
