Copies of a deadly prompt are held together, on all hosts, and spare the last upstream

Cause: a request was identified by its whole body, and items that bring one prompt differ in it, so each copy began with three upstreams of its own.

- A request is identified by what its upstream runs: the service, the customer and the prompt that its headers name; by method, path and body where they name none.
The host name is left out, since a caller may use several.
- The end of an upstream counts half for a run that had given text beside others: a deadly one ends its upstream as it begins.
- From the sixth end on a request is not tried again while that is remembered: three upstreams, then three more at the most.
- Copies at several hosts ask one host, the first by rendezvous for the request, for the turn to try it as its hold ends.
- For 5 s after an end the request is not sent to the last upstream of its service; its siblings are probed first.

--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -131,6 +131,7 @@
     recordExecutorHere: peerService.noteBegun,
     findReportedExecutor: batchStore.batches.findReportedExecutor,
   });
+  upstreams.shareTrials(peers.trials);
   const crashSharing = newCrashSharing({
     clock,
     log,
--- a/apps/host/src/newPeerService.ts
+++ b/apps/host/src/newPeerService.ts
@@ -44,6 +44,12 @@
       crashes.forEach(crashHistory.merge);
       return crashHistory.newest(MAX_EXCHANGED_CRASHES);
     },
+    claimTrial: (digest, crashes) => {
+      crashes.forEach(crashHistory.merge);
+      const retryAt = crashHistory.start(digest);
+      return retryAt === null ? 0 : Math.max(1, Math.round(retryAt - clock.now()));
+    },
+    cancelTrial: crashHistory.cancelStart,
     findNewerSettings: options.findNewerSettings,
     listEvacuations: options.listEvacuations,
     touch: batchStore.checkStoreAccess,
--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -1,3 +1,4 @@
+import findPrompt from '@cyclamengate/adapter/findPrompt';
 import newHttpUpstreamClient from '@cyclamengate/adapter/newHttpUpstreamClient';
 import type Clock from '@cyclamengate/common/Clock';
 import type { Homes } from '@cyclamengate/common/homes';
@@ -6,10 +7,12 @@
 import newColdGuard from '@cyclamengate/engines/newColdGuard';
 import newColdLimits from '@cyclamengate/engines/newColdLimits';
 import newCrashGuard from '@cyclamengate/engines/newCrashGuard';
+import type { Trials } from '@cyclamengate/engines/newCrashGuard';
 import newCrashHistory from '@cyclamengate/engines/newCrashHistory';
 import newDirectory from '@cyclamengate/engines/newDirectory';
 import newEvacuations from '@cyclamengate/engines/newEvacuations';
 import newHealth from '@cyclamengate/engines/newHealth';
+import soleTrials from '@cyclamengate/engines/soleTrials';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import newCandidates from '@cyclamengate/gateway/newCandidates';
 import newPlainRelay from '@cyclamengate/gateway/newPlainRelay';
@@ -48,6 +51,7 @@
     findLimit: (service) => settingsView.read()?.services.get(service)?.coldLimit ?? null,
     evacuations,
   });
+  let trials = soleTrials;
   const client = newCrashGuard({
     clock,
     log,
@@ -56,6 +60,11 @@
     onEnded: coldLimits.suspectRestart,
     directory,
     history: crashHistory,
+    findPrompt,
+    trials: {
+      claim: (digest, crashes) => trials.claim(digest, crashes),
+      cancel: (digest) => trials.cancel(digest),
+    },
   });
   const candidates = newCandidates({
     regions,
@@ -87,6 +96,10 @@
     crashHistory,
     client,
     candidates,
+    /** Agrees with other hosts on trials from now on. */
+    shareTrials: (shared: Trials): void => {
+      trials = shared;
+    },
     relay: newPlainRelay(relayParts),
     relayStream: newStreamRelay(relayParts),
     /** Whether any upstream of a service in some regions takes requests. */
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -8,6 +8,7 @@
 import type { BeginCandidate, BatchDispatcherOptions } from './newBatchDispatcher.js';
 import newPeerCalls from './newPeerCalls.js';
 import type { PeerAnswer, PeerCall } from './newPeerCalls.js';
+import newTrialClaims from './newTrialClaims.js';
 import { writeOutcomeSchema } from './peerRouter.js';
 import type { StoreReachability } from './peerRouter.js';
 
@@ -63,7 +64,7 @@
  * be refused although the system could serve it.
  */
 const newPeers = (options: PeersOptions) => {
-  const { clock, log, failureDomain, readPeers, mayHold, rank, random } = options;
+  const { clock, log, failureDomain, self, readPeers, mayHold, rank, random } = options;
   const calls = newPeerCalls(clock, log);
   const { ask, askUncached } = calls;
   const dispatcher = newBatchDispatcher({ ...options, calls });
@@ -97,6 +98,7 @@
 
   return {
     begin: dispatcher.begin,
+    trials: newTrialClaims({ calls, host: self.host, readPeers }),
     /**
      * Hands a batch over to the first host in order of preference that takes it.
      * @returns the name of that host; null if no host takes it
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -20,6 +20,12 @@
 /** Number of crashes of upstreams that two hosts exchange in one call. */
 export const MAX_EXCHANGED_CRASHES = 128;
 
+const trialSchema = z.object({
+  /** Digest of the request. */
+  digest: z.string(),
+  crashes: z.array(upstreamCrashSchema).max(MAX_EXCHANGED_CRASHES),
+});
+
 const keepSchema = z.object({
   record: batchChangeSchema,
   /**
@@ -63,6 +69,13 @@
   announce: (heartbeat: Heartbeat) => Promise<boolean>;
   /** Merges the sender's crashes of upstreams into this host's; @returns this host's. */
   exchangeCrashes: (crashes: UpstreamCrash[]) => UpstreamCrash[];
+  /**
+   * Grants the sender the run of a request that ended upstreams, after merging the crashes that the
+   * sender knows; @returns for how long it has to wait, in milliseconds; 0 if it may run it now.
+   */
+  claimTrial: (digest: string, crashes: UpstreamCrash[]) => number;
+  /** Takes a grant back whose run did not reach an upstream. */
+  cancelTrial: (digest: string) => void;
   /** The operator's settings as published if they are newer than a version; null if not. */
   findNewerSettings: (version: number) => string | null;
   /** The state of all failure domains that were ever evacuated. */
@@ -87,6 +100,10 @@
     exchangeCrashes: t.procedure
       .input(z.array(upstreamCrashSchema).max(MAX_EXCHANGED_CRASHES))
       .mutation(({ input }) => service.exchangeCrashes(input)),
+    claimTrial: t.procedure
+      .input(trialSchema)
+      .mutation(({ input }) => service.claimTrial(input.digest, input.crashes)),
+    cancelTrial: t.procedure.input(z.string()).mutation(({ input }) => service.cancelTrial(input)),
     findNewerSettings: t.procedure
       .input(z.int())
       .query(({ input }) => service.findNewerSettings(input)),
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -39,6 +39,8 @@
       if (acceptsWork) taken.push(handover);
       return acceptsWork;
     },
+    claimTrial: () => 0,
+    cancelTrial: () => {},
     exchangeCrashes: (crashes) => {
       const known = [...crashesHere];
       crashesHere.push(...crashes);
--- a/packages/engines/src/DelegatingUpstreamClient.ts
+++ b/packages/engines/src/DelegatingUpstreamClient.ts
@@ -20,8 +20,8 @@
     return this.client.send(entry, request, firstByteDeadline, signal);
   }
 
-  heldUntil(request: UpstreamRequest): number | null {
-    return this.client.heldUntil(request);
+  heldUntil(service: string, request: UpstreamRequest): number | null {
+    return this.client.heldUntil(service, request);
   }
 
   isConnected(entry: UpstreamEntry): boolean {
--- a/packages/engines/src/UpstreamClient.ts
+++ b/packages/engines/src/UpstreamClient.ts
@@ -68,10 +68,10 @@
   ): Promise<UpstreamOutcome>;
 
   /**
-   * When a request that ended upstreams may be sent again, on the monotonic clock; null if it is not
-   * held.
+   * When a request that ended upstreams of a service may be sent again, on the monotonic clock; null
+   * if it is not held.
    */
-  abstract heldUntil(request: UpstreamRequest): number | null;
+  abstract heldUntil(service: string, request: UpstreamRequest): number | null;
 
   /** Whether a connection to the upstream is open and can take a request. */
   abstract isConnected(entry: UpstreamEntry): boolean;
--- a/packages/engines/src/upstreamCrash.ts
+++ b/packages/engines/src/upstreamCrash.ts
@@ -8,6 +8,8 @@
   upstream: z.string(),
   /** Unix time in milliseconds, by the clock of the host that ran the request. */
   endedAt: z.number(),
+  /** How much the crash counts against the request, from 0 to 1. */
+  weight: z.number().min(0).max(1).default(1),
 });
 
 export type UpstreamCrash = z.infer<typeof upstreamCrashSchema>;
--- a/packages/engines/tests/newCrashHistory.test.ts
+++ b/packages/engines/tests/newCrashHistory.test.ts
@@ -10,6 +10,7 @@
     digest,
     upstream,
     endedAt: clock.wallTime(),
+    weight: 1,
   });
   /** Time until the request may run; 0 if it starts now. */
   const startIn = (digest = 'deadly'): number => {
@@ -94,3 +95,22 @@
   t.is(history.newest(5).length, 5);
   t.is(history.newest(1)[0]?.digest, 'request-2999');
 });
+
+test('a request that ended six upstreams is not tried again while that is remembered', async (t) => {
+  const { clock, history, newCrash, startIn } = newHistory();
+  for (let index = 0; index < 6; index += 1) history.add(newCrash(`a@${index}`));
+  t.is(startIn(), 900_000);
+  await clock.advance(899_999);
+  t.is(startIn(), 1);
+});
+
+test('crashes count by their weight, and one that is reported twice by the greater one', (t) => {
+  const { history, newCrash, startIn } = newHistory();
+  const newLight = (upstream: string): UpstreamCrash => ({ ...newCrash(upstream), weight: 0.5 });
+  ['a@1', 'b@1', 'c@1'].map(newLight).forEach(history.add);
+  t.is(startIn(), 0);
+  t.true(history.merge(newCrash('a@1')));
+  t.false(history.merge(newLight('a@1')));
+  t.is(startIn(), 1_000);
+  t.is(history.crashesOf('deadly').length, 3);
+});
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -199,7 +199,7 @@
     const refusal = hasRun
       ? withRetryAt(
           uncertain(isPastDeadline ? 'deadline' : 'upstream-failed', isPastDeadline ? 504 : 502),
-          client.heldUntil(request),
+          heldUntil ?? client.heldUntil(request.service, request),
           clock.now(),
         )
       : notRunRefusal(heldUntil, clock.now());
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -168,7 +168,11 @@
       return { type: 'answer', answer, upstream: failed.upstream, upstreams };
     }
     const refusal = hasRun
-      ? withRetryAt(uncertain('upstream-failed'), client.heldUntil(request), clock.now())
+      ? withRetryAt(
+          uncertain('upstream-failed'),
+          heldUntil ?? client.heldUntil(request.service, request),
+          clock.now(),
+        )
       : notRunRefusal(heldUntil, clock.now());
     return { type: 'refusal', refusal, hasRun, upstreams };
   };
--- a/packages/gateway/tests/deadlyRequest.load.test.ts
+++ b/packages/gateway/tests/deadlyRequest.load.test.ts
@@ -1,6 +1,7 @@
 import newMetrics from '@cyclamengate/common/newMetrics';
 import newCrashGuard from '@cyclamengate/engines/newCrashGuard';
 import newCrashHistory from '@cyclamengate/engines/newCrashHistory';
+import soleTrials from '@cyclamengate/engines/soleTrials';
 import UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamOutcome, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import { getIncarnationKey } from '@cyclamengate/engines/upstreamEntry';
@@ -125,6 +126,8 @@
       client: service.client,
       directory,
       history,
+      findPrompt: () => null,
+      trials: soleTrials,
       onEnded: () => {},
     });
     const relay = newPlainRelay({ clock, log: silentLog, ...parts, client });
