Copies of a request that share only their path are held together

Scoring calls name no prompt, and their copies differ in their bodies, so each had a digest of its own.

A request is identified by its content and by its path. What decides on a start is a module of its own (newSuspectGate).

The stand-in no longer crashes a server that is down already. A test that counted one digest counts two; 'another' request of two tests has a path of its own, and 'requests of a path that is answered are not held for one of them' checks the shared path.

--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -7,7 +7,7 @@
 import newColdGuard from '@cyclamengate/engines/newColdGuard';
 import newColdLimits from '@cyclamengate/engines/newColdLimits';
 import newCrashGuard from '@cyclamengate/engines/newCrashGuard';
-import type { Trials } from '@cyclamengate/engines/newCrashGuard';
+import type { Trials } from '@cyclamengate/engines/newSuspectGate';
 import newCrashHistory from '@cyclamengate/engines/newCrashHistory';
 import newDirectory from '@cyclamengate/engines/newDirectory';
 import newEvacuations from '@cyclamengate/engines/newEvacuations';
--- a/apps/host/tests/deadlyRequest.process.test.ts
+++ b/apps/host/tests/deadlyRequest.process.test.ts
@@ -130,3 +130,40 @@
     t.true(system.hosts.some(({ events }) => events.some(({ event }) => event === 'request.held')));
   },
 );
+
+const DEADLY_PATH = '/lookup/deadly';
+
+/** A batch whose first items are scored under one path that crashes upstreams, by different bodies. */
+const deadlyScoringBody = (name: string): string => {
+  const batch = JSON.parse(batchBody(name, 3, 4)) as {
+    entries: { scorer: { path: string; body: string } }[];
+  };
+  batch.entries.slice(0, 2).forEach(({ scorer }, index) => {
+    scorer.path = DEADLY_PATH;
+    scorer.body = Buffer.from(`${name} ${index}`).toString('base64');
+  });
+  return JSON.stringify(batch);
+};
+
+test.serial(
+  'scoring calls that end upstreams are stopped together, and others are made',
+  async (t) => {
+    // Guards against a scoring call that takes down the service again with each item that brings it.
+    const { platform, first, second, third, close } = await newSystem();
+    t.teardown(close);
+    platform.plain.forEach(({ faults }) => Object.assign(faults, { deadlyPath: DEADLY_PATH }));
+    const hosts = [first, second, third];
+    for (let index = 0; index < BATCHES; index += 1) {
+      const host = hosts[index % hosts.length] ?? first;
+      const name = `b${index}`;
+      t.is((await submit(host, name, deadlyScoringBody(name))).status, 202);
+      await waitUntil(async () => {
+        const page = await readPage(host, name).catch(() => null);
+        return (page?.results.length ?? 0) >= 10;
+      });
+    }
+    await sleep(ROUNDS * ROUND_MS);
+    const endedCount = platform.plain.reduce((sum, { crashCount }) => sum + crashCount(), 0);
+    t.true(endedCount <= MAX_ENDED + MAX_RETRIES, `${endedCount} upstreams ended`);
+  },
+);
--- a/apps/platform-standin/src/listenOnLoopback.ts
+++ b/apps/platform-standin/src/listenOnLoopback.ts
@@ -36,6 +36,8 @@
       server.closeAllConnections();
     });
   const crash = (): void => {
+    // Another request of the same moment may have crashed it already.
+    if (!server.listening) return;
     crashes += 1;
     server.close();
     server.closeAllConnections();
--- a/apps/platform-standin/src/newPlainServer.ts
+++ b/apps/platform-standin/src/newPlainServer.ts
@@ -14,6 +14,8 @@
     brokenAnswers: number;
     /** A request with this body crashes the server. */
     deadlyBody: string | null;
+    /** A request with this path crashes the server. */
+    deadlyPath: string | null;
   };
   runs: { requestId: string; customer: string | null; key: string | null }[];
 }
@@ -33,6 +35,7 @@
     isOverloaded: false,
     brokenAnswers: 0,
     deadlyBody: null,
+    deadlyPath: null,
   };
   const runs: PlainServer['runs'] = [];
   const loopback = await listenOnLoopback((request, response, crash) => {
@@ -49,12 +52,13 @@
     runs.push({ requestId, customer, key });
     readBody(request).then((body) =>
       setTimeout(() => {
+        if (response.destroyed) return;
         const answerHeaders = {
           'attempt-id': requestId,
           'server-stamp': `${id}.${requestId}`,
           'instance-load': '1,0,6',
         };
-        if (body.toString() === faults.deadlyBody) {
+        if (body.toString() === faults.deadlyBody || request.url === faults.deadlyPath) {
           crash();
           return;
         }
--- a/packages/batches/src/newTrialClaims.ts
+++ b/packages/batches/src/newTrialClaims.ts
@@ -1,5 +1,5 @@
 import rendezvousRank from '@cyclamengate/common/rendezvousRank';
-import type { Trials } from '@cyclamengate/engines/newCrashGuard';
+import type { Trials } from '@cyclamengate/engines/newSuspectGate';
 import type { PeerAddress, PeerAnswer, PeerCall, PeerCalls } from './newPeerCalls.js';
 
 /** A host that can grant a trial answers within a few milliseconds. */
--- a/packages/engines/src/identifyRequest.ts
+++ b/packages/engines/src/identifyRequest.ts
@@ -3,24 +3,32 @@
 
 const DIGEST_CHARACTERS = 16;
 
+/** What copies of a request have in common, as digests. */
+export interface RequestIdentity {
+  /** What it asks an upstream to do: its prompt, or its path and body. */
+  content: string;
+  /** Its path alone: copies that an upstream ends under may differ in their bodies. */
+  path: string;
+}
+
+const shortDigest = (fields: unknown[], rest: Buffer = Buffer.alloc(0)): string =>
+  digest(Buffer.concat([Buffer.from(JSON.stringify(fields)), rest])).slice(0, DIGEST_CHARACTERS);
+
 /**
- * Identifies what a request asks an upstream to do. A caller that sends a request again gives it a
- * new id, possibly at another host or under another host name; this stays the same. Copies of one
- * prompt may differ in their paths and bodies, so a prompt that is known identifies them.
+ * Identifies a request. A caller that sends a request again gives it a new id, possibly at another
+ * host or under another host name; its identity stays the same.
  * @param prompt identifies the request's prompt; null if it names none
  */
-const computeRequestDigest = (
+const identifyRequest = (
   service: string,
-  request: UpstreamRequest,
+  { customer, method, path, body }: UpstreamRequest,
   prompt: string | null,
-): string => {
-  const { customer, method, path, body } = request;
-  const head = prompt === null ? [service, customer, method, path] : [service, customer, prompt];
-  const rest = prompt === null ? body : Buffer.alloc(0);
-  return digest(Buffer.concat([Buffer.from(JSON.stringify(head)), rest])).slice(
-    0,
-    DIGEST_CHARACTERS,
-  );
-};
+): RequestIdentity => ({
+  content:
+    prompt === null
+      ? shortDigest([service, customer, method, path], body)
+      : shortDigest([service, customer, prompt]),
+  path: shortDigest([service, customer, method, path, 'path']),
+});
 
-export default computeRequestDigest;
+export default identifyRequest;
--- a/packages/engines/src/newCrashGuard.ts
+++ b/packages/engines/src/newCrashGuard.ts
@@ -2,11 +2,15 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
 import computeCrashWeight from './computeCrashWeight.js';
-import computeRequestDigest from './computeRequestDigest.js';
+import identifyRequest from './identifyRequest.js';
+import type { RequestIdentity } from './identifyRequest.js';
+import newAnsweredPaths from './newAnsweredPaths.js';
 import DelegatingUpstreamClient from './DelegatingUpstreamClient.js';
 import type { CrashHistory } from './newCrashHistory.js';
 import type { Directory } from './newDirectory.js';
 import newRunGroups from './newRunGroups.js';
+import newSuspectGate from './newSuspectGate.js';
+import type { Hold, Trials } from './newSuspectGate.js';
 import TruncatedAnswer from './TruncatedAnswer.js';
 import type UpstreamClient from './UpstreamClient.js';
 import type { UpstreamAnswer, UpstreamOutcome, UpstreamRequest } from './UpstreamClient.js';
@@ -17,20 +21,7 @@
 /** An upstream that is started again at once is listed within this time of its crash. */
 const SUCCESSOR_WAIT_MS = 5_000;
 const MAX_UNEXPLAINED_BREAKS = 256;
-/** Among more upstreams than this another one is most likely up, and is not probed. */
-const MAX_PROBED_UPSTREAMS = 3;
-/** For how long after a crash its request is kept from the last upstream; most are back by then. */
-const LAST_UPSTREAM_HOLD_MS = 5_000;
-const LAST_UPSTREAM_RETRY_MS = 1_000;
-
-/** Agrees with other hosts on who tries a request whose hold has ended. */
-export interface Trials {
-  /** @returns null if this host may try the request now, otherwise for how long it waits, in ms */
-  claim: (digest: string, crashes: UpstreamCrash[]) => Promise<number | null>;
-  /** Takes a claim back whose run did not reach an upstream. */
-  cancel: (digest: string) => void;
-}
-
+const ANSWERED_PATH_FACTOR = 0.5;
 export interface CrashGuardOptions {
   clock: Clock;
   log: EventLog;
@@ -58,7 +49,7 @@
 
 /** A run that an upstream broke off while its address still accepted connections. */
 interface UnexplainedBreak {
-  crash: UpstreamCrash;
+  crashes: UpstreamCrash[];
   entry: UpstreamEntry;
   deadline: number;
 }
@@ -78,8 +69,15 @@
   const runGroups = newRunGroups(clock);
   let unexplainedBreaks: UnexplainedBreak[] = [];
 
-  const identify = (service: string, request: UpstreamRequest): string =>
-    computeRequestDigest(service, request, findPrompt(request.headers));
+  const answeredPaths = newAnsweredPaths(clock);
+  const gate = newSuspectGate({ clock, client, directory, history, trials });
+
+  const identify = (service: string, request: UpstreamRequest): RequestIdentity =>
+    identifyRequest(service, request, findPrompt(request.headers));
+
+  /** Most requests are sent while no crashes are remembered, and need no digests. */
+  const identifySuspect = (service: string, request: UpstreamRequest): RequestIdentity | null =>
+    history.size() === 0 ? null : identify(service, request);
 
   directory.onRemoved((entry) => runGroups.remove(getIncarnationKey(entry)));
   directory.onListed((successor) => {
@@ -87,7 +85,7 @@
     unexplainedBreaks
       .filter(({ entry }) => entry.host === successor.host && entry.port === successor.port)
       .filter(({ entry }) => getIncarnationKey(entry) !== getIncarnationKey(successor))
-      .forEach(({ crash }) => history.add(crash));
+      .forEach(({ crashes }) => crashes.forEach(history.add));
   });
 
   const isStaying = (entry: UpstreamEntry): boolean => {
@@ -99,18 +97,26 @@
     const { entry, request, reason, startedAt, receivedBytes } = run;
     const ranForMs = Math.round(clock.now() - startedAt);
     const wasStaying = isStaying(entry);
-    const digest = identify(entry.service, request);
+    const { content: digest, path: pathDigest } = identify(entry.service, request);
     const upstream = getIncarnationKey(entry);
     const runsThere = runGroups.countBroken(upstream);
     const hasGivenText = receivedBytes > 0 || request.lastEventId !== null;
     const weight = computeCrashWeight(hasGivenText, runsThere);
-    const crash = { digest, upstream, endedAt: clock.wallTime(), weight };
+    // A path that others get answers on is hardly the cause, and they must not be held for it.
+    const pathWeight = answeredPaths.has(entry.service, request)
+      ? weight * ANSWERED_PATH_FACTOR
+      : weight;
+    const crash = { upstream, endedAt: clock.wallTime() };
+    const crashes = [
+      { ...crash, digest, weight },
+      { ...crash, digest: pathDigest, weight: pathWeight },
+    ];
     const hasEnded = await client.hasEnded(entry);
     if (hasEnded) options.onEnded(entry);
-    if (wasStaying && hasEnded) history.add(crash);
+    if (wasStaying && hasEnded) crashes.forEach(history.add);
     if (wasStaying && !hasEnded) {
       const deadline = clock.now() + SUCCESSOR_WAIT_MS;
-      unexplainedBreaks = [...unexplainedBreaks, { crash, entry, deadline }].slice(
+      unexplainedBreaks = [...unexplainedBreaks, { crashes, entry, deadline }].slice(
         -MAX_UNEXPLAINED_BREAKS,
       );
     }
@@ -119,6 +125,7 @@
     log.warn('run.broken-off', {
       requestId: request.requestId,
       digest,
+      pathDigest,
       customer: request.customer,
       path: request.path,
       upstream: entry.id,
@@ -128,6 +135,7 @@
       ranForMs,
       runsThere,
       weight,
+      pathWeight,
       hasEnded,
       wasStaying,
       endedUpstreams: history.upstreamsOf(digest),
@@ -135,7 +143,9 @@
   };
 
   const recordAnswer = (entry: UpstreamEntry, request: UpstreamRequest): void => {
-    if (history.size() > 0) history.recordAnswer(identify(entry.service, request));
+    answeredPaths.add(entry.service, request);
+    const identity = identifySuspect(entry.service, request);
+    if (identity) [identity.content, identity.path].forEach(history.recordAnswer);
   };
 
   async function* readBody(
@@ -162,44 +172,7 @@
     recordAnswer(entry, request);
   }
 
-  /** Whether another upstream of the service than this one can take requests. */
-  const hasOtherUpstream = async ({ id, service }: UpstreamEntry): Promise<boolean> => {
-    const others = directory.all(service).filter((other) => other.id !== id && !other.isDraining);
-    if (others.length > MAX_PROBED_UPSTREAMS) return true;
-    const haveEnded = await Promise.all(others.map((other) => client.hasEnded(other)));
-    return haveEnded.includes(false);
-  };
-
-  /** Whether a request that ended an upstream a moment ago would now run on the last one. */
-  const wouldRiskLast = async (entry: UpstreamEntry, digest: string): Promise<boolean> => {
-    const crashedAt = history.lastCrashAt(digest) ?? -Infinity;
-    if (!history.isSuspect(digest) || clock.now() >= crashedAt + LAST_UPSTREAM_HOLD_MS)
-      return false;
-    return !(await hasOtherUpstream(entry));
-  };
-
-  /**
-   * Starts a run of a request that ended upstreams, unless it is held.
-   * @returns when it may run, on the monotonic clock; null if it may run now
-   */
-  const startSuspect = async (entry: UpstreamEntry, digest: string): Promise<number | null> => {
-    const heldUntil = history.heldUntil(digest);
-    if (heldUntil !== null) return heldUntil;
-    if (await wouldRiskLast(entry, digest)) return clock.now() + LAST_UPSTREAM_RETRY_MS;
-    const retryAt = history.start(digest);
-    if (retryAt !== null || !history.isOnTrial(digest)) return retryAt;
-    const waitMs = await trials.claim(digest, history.crashesOf(digest));
-    if (waitMs === null) return null;
-    history.cancelStart(digest);
-    return clock.now() + waitMs;
-  };
-
-  const cancelStart = (digest: string): void => {
-    if (history.isOnTrial(digest)) trials.cancel(digest);
-    history.cancelStart(digest);
-  };
-
-  const hold = (request: UpstreamRequest, digest: string, retryAt: number): UpstreamOutcome => {
+  const refuseHeld = (request: UpstreamRequest, { digest, retryAt }: Hold): UpstreamOutcome => {
     metrics.count('requests_held');
     log.warn('request.held', {
       requestId: request.requestId,
@@ -217,9 +190,9 @@
       firstByteDeadline: number,
       signal: AbortSignal,
     ): Promise<UpstreamOutcome> {
-      const digest = history.size() === 0 ? null : identify(entry.service, request);
-      const retryAt = digest === null ? null : await startSuspect(entry, digest);
-      if (digest !== null && retryAt !== null) return hold(request, digest, retryAt);
+      const identity = identifySuspect(entry.service, request);
+      const held = identity && (await gate.start(entry, identity));
+      if (held) return refuseHeld(request, held);
       const startedAt = clock.now();
       runGroups.begin(getIncarnationKey(entry));
       const outcome = await super.send(entry, request, firstByteDeadline, signal);
@@ -228,7 +201,7 @@
         return { type: 'answer', answer: { ...outcome.answer, body } };
       }
       const { fault } = outcome;
-      if (fault.type === 'not-run' && digest !== null) cancelStart(digest);
+      if (fault.type === 'not-run' && identity) gate.cancel(identity);
       if (fault.type === 'unknown' && !signal.aborted) {
         // The caller retries after a broken connection at once, and has to know of the crash then. A
         // silent upstream has already cost the whole timeout.
@@ -241,7 +214,11 @@
     }
 
     override heldUntil(service: string, request: UpstreamRequest): number | null {
-      return history.size() === 0 ? null : history.heldUntil(identify(service, request));
+      const identity = identifySuspect(service, request);
+      const holds = identity
+        ? [identity.content, identity.path].flatMap((digest) => history.heldUntil(digest) ?? [])
+        : [];
+      return holds.length === 0 ? null : Math.max(...holds);
     }
   }
   return new GuardedClient(client);
--- a/packages/engines/src/newCrashHistory.ts
+++ b/packages/engines/src/newCrashHistory.ts
@@ -4,7 +4,7 @@
 
 /** A request that ended upstreams may come again for minutes. */
 const RETENTION_MS = 900_000;
-const SUSPECT_EVIDENCE = 1;
+const SUSPECT_WEIGHT = 1;
 /** Number of requests that are remembered; the oldest is forgotten first. */
 const MAX_REQUESTS = 1_024;
 
@@ -133,10 +133,10 @@
       return clock.now() < heldUntil ? heldUntil : null;
     },
     /** Whether the request is likely enough the cause of a crash to be kept from the last upstream. */
-    isSuspect: (digest: string): boolean => {
-      const history = histories.get(digest);
-      return history !== undefined && sumWeights(history) >= SUSPECT_EVIDENCE;
-    },
+    isSuspect: (digest: string): boolean =>
+      [...(histories.get(digest)?.crashes.values() ?? [])].some(
+        ({ crash }) => crash.weight >= SUSPECT_WEIGHT,
+      ),
     /** Whether the request has been held, so that its next run is a trial. */
     isOnTrial: (digest: string): boolean => {
       const history = histories.get(digest);
--- a/packages/engines/tests/newCrashGuard.test.ts
+++ b/packages/engines/tests/newCrashGuard.test.ts
@@ -2,7 +2,7 @@
 import { newManualClock, settle } from '@cyclamengate/fakes/newManualClock';
 import test from 'ava';
 import newCrashGuard from '../src/newCrashGuard.js';
-import type { Trials } from '../src/newCrashGuard.js';
+import type { Trials } from '../src/newSuspectGate.js';
 import newCrashHistory from '../src/newCrashHistory.js';
 import newDirectory from '../src/newDirectory.js';
 import soleTrials from '../src/soleTrials.js';
@@ -36,10 +36,10 @@
   },
 });
 
-const newRequest = (body: string, prompt?: string): UpstreamRequest => ({
+const newRequest = (body: string, prompt?: string, path = `/lookup/${body}`): UpstreamRequest => ({
   requestId: 'r1',
   method: 'POST',
-  path: `/lookup/${body}`,
+  path,
   hostName: 'parts.example',
   headers: prompt === undefined ? {} : { prompt },
   body: Buffer.from(body),
@@ -94,10 +94,16 @@
     upstream: number,
     body = 'deadly',
     prompt?: string,
+    path?: string,
   ): Promise<UpstreamOutcome> => {
     const entry = entries[upstream] as UpstreamEntry;
     const deadline = clock.now() + 1_000;
-    const outcome = await guard.send(entry, newRequest(body, prompt), deadline, signal.signal);
+    const outcome = await guard.send(
+      entry,
+      newRequest(body, prompt, path),
+      deadline,
+      signal.signal,
+    );
     if (outcome.type === 'answer') {
       try {
         for await (const chunk of outcome.answer.body) chunk.toString();
@@ -183,7 +189,8 @@
   const outcome = await guard.send(first, newRequest('x'), clock.now(), signal.signal);
   t.is(outcome, broken);
   await settle();
-  t.is(history.size(), 1);
+  // Its content and its path.
+  t.is(history.size(), 2);
 });
 
 test('a held request that an upstream answers after its hold is released', async (t) => {
@@ -240,7 +247,7 @@
   await runBoth(0);
   await runBoth(1);
   state.ended.clear();
-  t.is(history.size(), 2);
+  t.is(history.size(), 4);
   const [, , third] = entries as [UpstreamEntry, UpstreamEntry, UpstreamEntry];
   const sendTo = (body: string): Promise<UpstreamOutcome> =>
     guard.send(third, newRequest(body), clock.now() + 1, signal.signal);
@@ -270,6 +277,30 @@
   grants.waitMs = null;
   state.outcome = () => full;
   t.false(isHeld(await run(2)));
-  const [digest] = claims;
-  t.deepEqual(claims, [digest, digest, `not ${digest}`]);
+  const [content, path] = [claims[0], claims[2]];
+  t.deepEqual(claims, [content, content, path, `not ${content}`, `not ${path}`]);
+});
+
+test('copies that share only their path are held together', async (t) => {
+  // Guards against copies of a request whose bodies differ, each of which ends upstreams of its own.
+  const { state, run, isHeld } = newGuard();
+  state.ended = new Set(['a', 'b']);
+  await run(0, 'first copy', undefined, '/score/7');
+  await run(1, 'second copy', undefined, '/score/7');
+  t.true(isHeld(await run(2, 'third copy', undefined, '/score/7')));
+  t.false(isHeld(await run(2, 'another', undefined, '/score/8')));
+});
+
+test('requests of a path that is answered are not held for one of them', async (t) => {
+  // Guards against all callers of a path that are refused since one request on it ends upstreams.
+  const { state, run, isHeld } = newGuard();
+  state.outcome = () => newAnswer();
+  await run(0, 'innocent', undefined, '/score');
+  state.ended = new Set(['a', 'b']);
+  state.outcome = () => broken;
+  await run(0, 'deadly', undefined, '/score');
+  await run(1, 'deadly', undefined, '/score');
+  t.true(isHeld(await run(2, 'deadly', undefined, '/score')));
+  t.false(isHeld(await run(2, 'innocent', undefined, '/score')));
+  t.false(isHeld(await run(2, 'another', undefined, '/score')));
 });
