--- a/apps/platform-standin/src/newEngineServer.ts
+++ b/apps/platform-standin/src/newEngineServer.ts
@@ -30,6 +30,8 @@
   path: string;
   lastEventId: number;
   body: string;
+  /** The body as it arrived. */
+  bytes: Buffer;
 }
 
 export interface EngineServer extends LoopbackServer {
@@ -117,6 +119,7 @@
       path: request.url ?? '',
       lastEventId,
       body: body.toString(),
+      bytes: body,
     });
     response.writeHead(200, {
       'content-type': 'text/event-stream',
