--- a/apps/host/tests/deadlyRequest.process.test.ts
+++ b/apps/host/tests/deadlyRequest.process.test.ts
@@ -92,6 +92,29 @@
 const DEADLY_PROMPT = 'ab12:600,cd34:16';
 const BATCHES = 4;
 
+/**
+ * Submits batches to the hosts in turn, each once the innocent items of the one before are done.
+ * @returns the statuses of the answers
+ */
+const submitInTurn = async (
+  hosts: TestHost[],
+  newBody: (name: string) => string,
+  innocents: number,
+): Promise<number[]> => {
+  const statuses: number[] = [];
+  for (let index = 0; index < BATCHES; index += 1) {
+    const host = hosts[index % hosts.length] as TestHost;
+    const name = `b${index}`;
+    const { status } = await submit(host, name, newBody(name));
+    statuses.push(status);
+    await waitUntil(async () => {
+      const page = await readPage(host, name).catch(() => null);
+      return (page?.results.length ?? 0) >= innocents;
+    });
+  }
+  return statuses;
+};
+
 /** A batch whose first item has a prompt that crashes engines; its body differs from batch to batch. */
 const deadlyPromptBody = (name: string): string => {
   const batch = JSON.parse(batchBody(name, 3, 4)) as {
@@ -114,16 +137,8 @@
     platform.engines.forEach(({ faults }) =>
       Object.assign(faults, { deadlyPrompt: DEADLY_PROMPT }),
     );
-    const hosts = [first, second, third];
-    for (let index = 0; index < BATCHES; index += 1) {
-      const host = hosts[index % hosts.length] ?? first;
-      const name = `b${index}`;
-      t.is((await submit(host, name, deadlyPromptBody(name))).status, 202);
-      await waitUntil(async () => {
-        const page = await readPage(host, name).catch(() => null);
-        return (page?.results.length ?? 0) >= 11;
-      });
-    }
+    const statuses = await submitInTurn([first, second, third], deadlyPromptBody, 11);
+    t.true(statuses.every((status) => status === 202));
     await sleep(ROUNDS * ROUND_MS);
     const endedCount = platform.engines.reduce((sum, { crashCount }) => sum + crashCount(), 0);
     t.true(endedCount <= MAX_ENDED + MAX_RETRIES, `${endedCount} engines ended`);
@@ -152,16 +167,8 @@
     const { platform, first, second, third, close } = await newSystem();
     t.teardown(close);
     platform.plain.forEach(({ faults }) => Object.assign(faults, { deadlyPath: DEADLY_PATH }));
-    const hosts = [first, second, third];
-    for (let index = 0; index < BATCHES; index += 1) {
-      const host = hosts[index % hosts.length] ?? first;
-      const name = `b${index}`;
-      t.is((await submit(host, name, deadlyScoringBody(name))).status, 202);
-      await waitUntil(async () => {
-        const page = await readPage(host, name).catch(() => null);
-        return (page?.results.length ?? 0) >= 10;
-      });
-    }
+    const statuses = await submitInTurn([first, second, third], deadlyScoringBody, 10);
+    t.true(statuses.every((status) => status === 202));
     await sleep(ROUNDS * ROUND_MS);
     const endedCount = platform.plain.reduce((sum, { crashCount }) => sum + crashCount(), 0);
     t.true(endedCount <= MAX_ENDED + MAX_RETRIES, `${endedCount} upstreams ended`);
