Three upstreams have to end under a path before its other requests are held

Two copies reached both upstreams before the second host knew of the first end, and the second end held the path that the innocent shares, since nobody had been answered on it yet. An end counts 0.7 against such a path now: the third one holds it.

--- a/packages/engines/src/newCrashGuard.ts
+++ b/packages/engines/src/newCrashGuard.ts
@@ -21,6 +21,8 @@
 /** An upstream that is started again at once is listed within this time of its crash. */
 const SUCCESSOR_WAIT_MS = 5_000;
 const MAX_UNEXPLAINED_BREAKS = 256;
+/** Requests that share a path may be innocent: it takes three ends to hold all of them. */
+const PATH_FACTOR = 0.7;
 const ANSWERED_PATH_FACTOR = 0.5;
 export interface CrashGuardOptions {
   clock: Clock;
@@ -103,9 +105,8 @@
     const hasGivenText = receivedBytes > 0 || request.lastEventId !== null;
     const weight = computeCrashWeight(hasGivenText, runsThere);
     // A path that others get answers on is hardly the cause, and they must not be held for it.
-    const pathWeight = answeredPaths.has(entry.service, request)
-      ? weight * ANSWERED_PATH_FACTOR
-      : weight;
+    const isAnswered = answeredPaths.has(entry.service, request);
+    const pathWeight = weight * (isAnswered ? ANSWERED_PATH_FACTOR : PATH_FACTOR);
     const crash = { upstream, endedAt: clock.wallTime() };
     const crashes = [
       { ...crash, digest, weight },
