--- a/apps/platform-standin/src/listenOnLoopback.ts
+++ b/apps/platform-standin/src/listenOnLoopback.ts
@@ -35,14 +35,22 @@
       server.close(() => resolve());
       server.closeAllConnections();
     });
+  const restart = (): void => {
+    restartTimer = setTimeout(() => server.listen(port, '127.0.0.1'), RESTART_DELAY_MS);
+  };
   const crash = (): void => {
     // Another request of the same moment may have crashed it already.
     if (!server.listening) return;
     crashes += 1;
     server.close();
     server.closeAllConnections();
-    restartTimer = setTimeout(() => server.listen(port, '127.0.0.1'), RESTART_DELAY_MS);
+    restart();
   };
+  // Another process of the machine may have got the port as the local one of a connection.
+  server.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code !== 'EADDRINUSE') throw error;
+    restart();
+  });
   server.on('request', (request, response) => handle(request, response, crash));
   return { server, address: `127.0.0.1:${port}`, close, crash, crashCount: () => crashes };
 };
