--- a/packages/engines/src/newRunGroups.ts
+++ b/packages/engines/src/newRunGroups.ts
@@ -41,6 +41,4 @@
   };
 };
 
-export type RunGroups = ReturnType<typeof newRunGroups>;
-
 export default newRunGroups;
