Interfaces of the parts for hard load: pace of an upstream, demand in heartbeats

Change: fields only, filled by the parts; a candidate's pace is 1 and nothing decides on it yet. Result: builds with types; no behaviour changes.

--- a/packages/batches/tests/helpers.ts
+++ b/packages/batches/tests/helpers.ts
@@ -54,6 +54,7 @@
   entry: newEntry(id, entry),
   load: 0,
   latencyMs: 35,
+  pace: 1,
   isBackedOff: false,
   isOwnDomain: true,
   isConnected: true,
--- a/packages/engines/src/newLoads.ts
+++ b/packages/engines/src/newLoads.ts
@@ -8,6 +8,8 @@
   running: number;
   waiting: number;
   slots: number;
+  /** Time that work takes there now, relative to its usual; null if the upstream does not say. */
+  pace: number | null;
 }
 
 /** Counts requests at each upstream: this host's exactly, those of other hosts by estimate. */
--- a/packages/engines/tests/placing.test.ts
+++ b/packages/engines/tests/placing.test.ts
@@ -13,6 +13,7 @@
   entry: newEntry(id),
   load: 0,
   latencyMs: 35,
+  pace: 1,
   isBackedOff: false,
   isOwnDomain: true,
   isConnected: true,
--- a/packages/gateway/src/newCandidates.ts
+++ b/packages/gateway/src/newCandidates.ts
@@ -31,6 +31,7 @@
     entry,
     load: loads.estimate(entry.id),
     latencyMs: health.getLatencyMs(entry.id),
+    pace: 1,
     isBackedOff: health.isBackedOff(entry.id),
     isOwnDomain: entry.failureDomain === failureDomain,
     isConnected: isConnected(entry),
--- a/packages/hosts/src/coordinationRecord.ts
+++ b/packages/hosts/src/coordinationRecord.ts
@@ -22,6 +22,10 @@
   isLeaving: z.boolean(),
   /** Number of requests that the host is running at each upstream. */
   running: z.record(z.string(), z.int()),
+  /** Number of requests that the host runs or has waiting at each service. */
+  demand: z.record(z.string(), z.int()).optional(),
+  /** Upstreams that are clearly faster or slower than their peers, with their pace. */
+  paces: z.record(z.string(), z.number()).optional(),
   /** Usage counts by window number; totals, so that applying them again changes nothing. */
   usage: z.record(z.string(), usageCountsSchema),
   /** The newest window whose counts on this host are final. */
