Operators see what a host knows of each service

Cause: nobody could ask a host who waits for a service, who holds what share of it, the expected wait, or an upstream's pace. Change: hosts of the platform form answer it on their metrics address; `cyclamengate services HOST` prints it. Shares are empty until the admission of plain services is there.

--- a/apps/cli/src/main.ts
+++ b/apps/cli/src/main.ts
@@ -85,6 +85,20 @@
       printOutcome(await status(log, peer), json);
     },
   )
+  .command(
+    'services <host>',
+    'show what a host of the platform form knows of each service: shares, waits, paces',
+    (command) =>
+      command.positional('host', {
+        type: 'string',
+        demandOption: true,
+        describe: 'metrics address of the host',
+      }),
+    async ({ host, json }) => {
+      const { default: services } = await import('./services.js');
+      printOutcome(await services(host), json);
+    },
+  )
   .command(
     'audit',
     'show who changed what, when, on what basis, and what came of it',
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -256,6 +256,7 @@
     readSettings: settingsView.read,
     peerServer: newPeerServer(peerService),
     isReady: () => settingsView.read() !== null && !isLeaving,
+    describeServices: upstreams.describeServices,
   });
 
   /**
--- a/apps/host/src/newServers.ts
+++ b/apps/host/src/newServers.ts
@@ -2,11 +2,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { ITEM_PATH, RESULTS_PATH } from '@cyclamengate/adapter/batchCalls';
 import { parseCallerRequest } from '@cyclamengate/adapter/callerRequest';
-import { handler } from '@cyclamengate/common/handler';
+import { handler, sendJson } from '@cyclamengate/common/handler';
 import type { AsyncHandler, HandlerRequest } from '@cyclamengate/common/handler';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
+import type { ServiceReport } from '@cyclamengate/gateway/serviceReport';
 import polka from 'polka';
 import type { HostSettings } from './hostSettings.js';
 import type { BatchHandlers } from './newBatchHandlers.js';
@@ -15,6 +16,8 @@
 /** Exceeds the operator's limit, which can change while the server is running. */
 const MAX_HEADER_BYTES = 65_536;
 const LISTEN_BACKLOG = 1_024;
+/** On the metrics address. */
+const SERVICES_PATH = '/services';
 
 export interface ServersOptions {
   settings: HostSettings;
@@ -24,6 +27,8 @@
   batches: BatchHandlers;
   readSettings: () => EffectiveSettings | null;
   isReady: () => boolean;
+  /** What this host knows of each service, for operators. */
+  describeServices: () => ServiceReport[];
   /** Serves the peer procedures. */
   peerServer: Server;
 }
@@ -104,7 +109,11 @@
     response.end();
   });
 
-  const metricsServer = createServer((_request, response) => {
+  const metricsServer = createServer((request, response) => {
+    if (request.url === SERVICES_PATH) {
+      sendJson(response, 200, options.describeServices());
+      return;
+    }
     response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
     response.end(metrics.text());
   });
--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -15,11 +15,13 @@
 import soleTrials from '@cyclamengate/engines/soleTrials';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import newCandidates from '@cyclamengate/gateway/newCandidates';
+import type { ServiceReport } from '@cyclamengate/gateway/serviceReport';
 import newPlainRelay from '@cyclamengate/gateway/newPlainRelay';
 import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
 import newStreamRelay from '@cyclamengate/gateway/newStreamRelay';
 import type { HostLoad } from '@cyclamengate/hosts/newMembers';
 import newConnections from '@cyclamengate/upstreams/newConnections';
+import describeServices from './describeServices.js';
 import type { HostSettings } from './hostSettings.js';
 
 export interface UpstreamAccessOptions {
@@ -105,6 +107,8 @@
     /** Whether any upstream of a service in some regions takes requests. */
     hasUpstream: (service: string, homes: Homes): boolean =>
       candidates(service, undefined, homes).length > 0,
+    describeServices: (): ServiceReport[] =>
+      describeServices([...(settingsView.read()?.services.keys() ?? [])], candidates, []),
   };
 };
 
--- a/apps/host/tests/endToEnd.process.test.ts
+++ b/apps/host/tests/endToEnd.process.test.ts
@@ -1,5 +1,8 @@
 import { newOperatorSettings } from '@cyclamengate/app-platform-standin/newPlatform';
+import { serviceReportSchema } from '@cyclamengate/gateway/serviceReport';
 import test from 'ava';
+import { request } from 'undici';
+import { z } from 'zod';
 import { batchBody, expectedTextOf, readAllResults, readPage, submit } from './batchHelpers.js';
 import { send, waitUntil } from './newHosts.js';
 import { newSystem } from './testSystem.js';
@@ -214,3 +217,14 @@
     t.is(starters.length, 1);
   },
 );
+
+test.serial('a host tells operators what it knows of each service', async (t) => {
+  const { first, close } = await newSystem(1);
+  t.teardown(close);
+  t.is((await send(first, 'POST', '/lookup/7', { id: 'q1', body: 'hello' })).status, 200);
+  const { body } = await request(`http://${first.metrics}/services`);
+  const reports = z.array(serviceReportSchema).parse(await body.json());
+  const upstreams = reports.flatMap((report) => report.upstreams);
+  t.true(upstreams.length > 0);
+  t.true(upstreams.every(({ pace, slots }) => pace > 0 && slots > 0));
+});
--- a/apps/host/tests/newHosts.ts
+++ b/apps/host/tests/newHosts.ts
@@ -22,6 +22,7 @@
   name: string;
   callers: string;
   readiness: string;
+  metrics: string;
   child: ChildProcess;
   /** Log events of the process, oldest first. */
   events: Record<string, unknown>[];
@@ -147,6 +148,7 @@
       name,
       callers: settings.listen.callers,
       readiness: settings.listen.readiness,
+      metrics: `127.0.0.1:${metrics}`,
       child,
       events,
       end,
