An upstream's load report may state its pace

Cause: the fourth figure of a load report, how long work takes on the upstream's machine at this moment, was not read, and a report with an empty or negative count was taken for one of an idle upstream. Change: a module of its own parses the report; a pace that makes no sense is left out, a report that makes no sense is ignored, and both are counted (load_paces_invalid, load_reports_invalid).

--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -56,7 +56,12 @@
     clock,
     log,
     metrics,
-    client: newColdGuard(newHttpUpstreamClient(clock, connections), coldLimits),
+    client: newColdGuard(
+      newHttpUpstreamClient(clock, connections, (part) =>
+        metrics.count(part === 'report' ? 'load_reports_invalid' : 'load_paces_invalid'),
+      ),
+      coldLimits,
+    ),
     onEnded: coldLimits.suspectRestart,
     directory,
     history: crashHistory,
