Paces: how long work takes at an upstream, relative to its peers

Cause: latency was one median over all calls of an upstream. Calls of 25 and 200 ms on one service made it meaningless, an engine faster than its peers did not show, and what an upstream reports of this moment was unused. Change: newPaces keeps the times of each upstream by kind of work and computes a lasting pace relative to the peers; the newest report counts for half a second. Candidates carry both paces; nothing is chosen by them yet. Gauges upstreams_slow and upstreams_fast.

--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -106,6 +106,7 @@
       customer,
       lastEventId: request.lastEventId,
       service,
+      kind: route.name,
       homes: findHomes(effective, route, customer),
       isIdempotent: route.isStream ? route.isResumable : route.kind === 'idempotent',
       maxUpstreams: route.maxUpstreams,
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -92,7 +92,7 @@
     loads,
     readHostLoads: coordination.members.hostLoads,
   });
-  const { directory, evacuations, health, connections, crashHistory, client, candidates } =
+  const { directory, evacuations, health, paces, connections, crashHistory, client, candidates } =
     upstreams;
   const homesOf = ({ route, customer }: BatchOwner): Homes => {
     const effective = settingsView.read();
@@ -172,6 +172,7 @@
     candidates,
     health,
     loads,
+    paces,
     scorer: newItemScorer({ clock, log, relay: upstreams.relay, readSettings: settingsView.read }),
     readSettings: settingsView.read,
     isOwner: (subject, homes) => !isLeaving && coordination.owns(`batches/${subject}`, homes),
--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -14,6 +14,8 @@
 import newHealth from '@cyclamengate/engines/newHealth';
 import soleTrials from '@cyclamengate/engines/soleTrials';
 import type { Loads } from '@cyclamengate/engines/newLoads';
+import newPaces from '@cyclamengate/engines/newPaces';
+import { isSameIncarnation } from '@cyclamengate/engines/upstreamEntry';
 import newCandidates from '@cyclamengate/gateway/newCandidates';
 import newPlainRelay from '@cyclamengate/gateway/newPlainRelay';
 import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
@@ -40,6 +42,14 @@
   const directory = newDirectory(clock, log);
   const evacuations = newEvacuations({ clock, log });
   const health = newHealth(clock, log);
+  const paces = newPaces({
+    clock,
+    loads,
+    isListed: (entry) => {
+      const listed = directory.find(entry.id);
+      return listed !== undefined && isSameIncarnation(listed, entry);
+    },
+  });
   const connections = newConnections();
   const crashHistory = newCrashHistory(clock);
   const coldLimits = newColdLimits({
@@ -78,13 +88,15 @@
     coldLimits,
     health,
     loads,
+    paces,
     failureDomain,
     isConnected: (entry) => client.isConnected(entry),
   });
-  const relayParts = { clock, log, client, candidates, health, loads };
+  const relayParts = { clock, log, client, candidates, health, loads, paces };
   directory.onRemoved((entry) => {
     client.closeConnections(entry);
     health.remove(entry.id);
+    paces.remove(entry);
     coldLimits.remove(entry);
   });
 
@@ -92,11 +104,14 @@
   metrics.gauge('requests_suspected', crashHistory.size);
   metrics.gauge('domains_evacuated', () => evacuations.list().length);
   metrics.gauge('upstreams_cold', countCold);
+  metrics.gauge('upstreams_slow', paces.countSlow);
+  metrics.gauge('upstreams_fast', paces.countFast);
 
   return {
     directory,
     evacuations,
     health,
+    paces,
     connections,
     crashHistory,
     client,
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -5,6 +5,7 @@
 import newNotifier from '@cyclamengate/common/newNotifier';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
+import type { Paces } from '@cyclamengate/engines/newPaces';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import { getLoadedVersion } from '@cyclamengate/engines/upstreamEntry';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
@@ -43,6 +44,8 @@
  * Minimum time between moves of an item, so that its new engine's pace is known: about 25 events.
  */
 const MIN_MOVE_INTERVAL_MS = 1_000;
+/** Of all models alike, so that engines of different models can be compared. */
+const EVENT_KIND = 'event';
 
 export interface BatchRunnerOptions {
   clock: Clock;
@@ -53,6 +56,7 @@
   candidates: Candidates;
   health: Health;
   loads: Loads;
+  paces: Pick<Paces, 'record'>;
   scorer: ItemScorer;
   readSettings: () => EffectiveSettings | null;
   /** Whether this host currently owns the batches of a subject that may run in some regions. */
@@ -86,7 +90,7 @@
 
 /** Runs the items of the batches that are assigned to this host. */
 const newBatchRunner = (options: BatchRunnerOptions) => {
-  const { clock, log, batches, client, candidates, health, loads, scorer, write } = options;
+  const { clock, log, batches, client, candidates, health, loads, paces, scorer, write } = options;
   const { newEventReader, readSettings, isOwner, homesOf, mayWork, isListed } = options;
   const tasks = newTaskList({ clock, log, findText: batches.findText });
   const savePart = newPartSaver({ clock, writer: options.incarnation, write: options.writePart });
@@ -186,7 +190,10 @@
       isVersionAllowed: (version) =>
         version >= batch.leastVersion &&
         (!isSingleVersion || progress.versions.every((other) => other === version)),
-      onEvent: (gapMs) => health.recordLatency(entry.id, gapMs),
+      onEvent: (gapMs) => {
+        health.recordLatency(entry.id, gapMs);
+        paces.record(entry, EVENT_KIND, gapMs);
+      },
       onLoad: (load) => loads.report(entry.id, load),
       signal: AbortSignal.any([task.controller.signal, runController.signal]),
     });
--- a/packages/batches/src/newItemScorer.ts
+++ b/packages/batches/src/newItemScorer.ts
@@ -57,6 +57,7 @@
       customer: null,
       lastEventId: null,
       service,
+      kind: `scoring ${route.name}`,
       homes: findHomes(effective, route, customer),
       isIdempotent: true,
       maxUpstreams: MAX_UPSTREAMS_PER_CALL,
--- a/packages/batches/tests/helpers.ts
+++ b/packages/batches/tests/helpers.ts
@@ -55,6 +55,7 @@
   load: 0,
   latencyMs: 35,
   pace: 1,
+  lastingPace: 1,
   isBackedOff: false,
   isOwnDomain: true,
   isConnected: true,
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -102,6 +102,7 @@
     candidates: () => [newCandidate('a')],
     health: newHealth(clock, silentLog),
     loads: newLoads(clock),
+    paces: { record: () => {} },
     scorer: async ({ id }) => {
       observed.scored.push(id);
       return { type: 'score', score: 'good' };
--- a/packages/engines/src/chooseUpstream.ts
+++ b/packages/engines/src/chooseUpstream.ts
@@ -9,10 +9,12 @@
   /** Median time of a unit of work, in milliseconds; null while unknown. */
   latencyMs: number | null;
   /**
-   * Time that work takes there, relative to the other upstreams of its service: 0.5 where it takes
-   * half as long; 1 while unknown.
+   * Time that work takes there now, relative to the other upstreams of its service: 0.5 where it
+   * takes half as long; 1 while unknown.
    */
   pace: number;
+  /** The pace without what the upstream says of this moment. */
+  lastingPace: number;
   /** Whether the upstream is in back-off after a failure. */
   isBackedOff: boolean;
   isOwnDomain: boolean;
--- a/packages/engines/src/newLoads.ts
+++ b/packages/engines/src/newLoads.ts
@@ -12,14 +12,19 @@
   pace: number | null;
 }
 
+/** The newest load report of an upstream. */
+export interface LoadReport {
+  load: ReportedLoad;
+  localAtReport: number;
+  reportedAt: number;
+  deadline: number;
+}
+
 /** Counts requests at each upstream: this host's exactly, those of other hosts by estimate. */
 const newLoads = (clock: Clock) => {
   let readRemoteLoads = (): ReadonlyMap<string, number> => new Map();
   const localCounts = new Map<string, number>();
-  const reports = new Map<
-    string,
-    { load: ReportedLoad; localAtReport: number; deadline: number }
-  >();
+  const reports = new Map<string, LoadReport>();
 
   const countLocal = (id: string): number => localCounts.get(id) ?? 0;
 
@@ -33,9 +38,11 @@
       else localCounts.delete(id);
     },
     report: (id: string, load: ReportedLoad): void => {
-      const deadline = clock.now() + REPORT_TTL_MS;
-      reports.set(id, { load, localAtReport: countLocal(id), deadline });
+      const reportedAt = clock.now();
+      const deadline = reportedAt + REPORT_TTL_MS;
+      reports.set(id, { load, localAtReport: countLocal(id), reportedAt, deadline });
     },
+    newestReport: (id: string): LoadReport | null => reports.get(id) ?? null,
     /** @param read returns the requests that other hosts run at each upstream */
     setRemoteLoads: (read: () => ReadonlyMap<string, number>): void => {
       readRemoteLoads = read;
--- a/packages/engines/tests/placing.test.ts
+++ b/packages/engines/tests/placing.test.ts
@@ -14,6 +14,7 @@
   load: 0,
   latencyMs: 35,
   pace: 1,
+  lastingPace: 1,
   isBackedOff: false,
   isOwnDomain: true,
   isConnected: true,
--- a/packages/gateway/src/newCandidates.ts
+++ b/packages/gateway/src/newCandidates.ts
@@ -6,6 +6,7 @@
 import type { Evacuations } from '@cyclamengate/engines/newEvacuations';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
+import type { Paces } from '@cyclamengate/engines/newPaces';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
 
 export interface CandidateOptions {
@@ -15,23 +16,24 @@
   coldLimits: Pick<ColdLimits, 'remaining'>;
   health: Health;
   loads: Loads;
+  paces: Pick<Paces, 'describe'>;
   failureDomain: string;
   isConnected: (entry: UpstreamEntry) => boolean;
 }
 
 /**
- * Collects load and health of a service's upstreams, except draining ones, those of evacuated
+ * Collects load, pace and health of a service's upstreams, except draining ones, those of evacuated
  * failure domains, those outside the request's homes and those already tried.
  */
 const newCandidates = (options: CandidateOptions) => {
   const { directory, evacuations, coldLimits, health, loads, failureDomain, isConnected } = options;
-  const { regions } = options;
+  const { regions, paces } = options;
 
   const describe = (entry: UpstreamEntry): Candidate => ({
     entry,
     load: loads.estimate(entry.id),
     latencyMs: health.getLatencyMs(entry.id),
-    pace: 1,
+    ...paces.describe(entry),
     isBackedOff: health.isBackedOff(entry.id),
     isOwnDomain: entry.failureDomain === failureDomain,
     isConnected: isConnected(entry),
--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -3,6 +3,7 @@
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
+import type { Paces } from '@cyclamengate/engines/newPaces';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import readAnswerBody from './readAnswerBody.js';
@@ -27,6 +28,8 @@
 
 export interface RelayedRequest extends Omit<UpstreamRequest, 'deadline'> {
   service: string;
+  /** Kind of work; calls of one kind take about the same time. */
+  kind: string;
   homes: Homes;
   isIdempotent: boolean;
   maxUpstreams: number;
@@ -40,6 +43,7 @@
   client: UpstreamClient;
   health: Health;
   loads: Loads;
+  paces: Pick<Paces, 'record' | 'expectedMs'>;
 }
 
 /** Outcome of sending a request to one upstream. */
@@ -57,10 +61,10 @@
 
 /**
  * Sends a request to one upstream and reads its complete answer, and records the upstream's load,
- * health and latency.
+ * health and pace.
  */
 const newPlainAttempt =
-  ({ clock, client, health, loads }: PlainAttemptOptions) =>
+  ({ clock, client, health, loads, paces }: PlainAttemptOptions) =>
   async (candidate: Candidate, request: RelayedRequest, signal: AbortSignal): Promise<Attempt> => {
     const { entry } = candidate;
     const startedAt = clock.now();
@@ -102,6 +106,11 @@
       }
       health.recordSuccess(entry.id);
       health.recordLatency(entry.id, clock.now() - startedAt);
+      // A refusal or an error takes less time than the work.
+      if (answer.status < 300) {
+        const isQueued = (answer.load?.waiting ?? 0) > 0;
+        paces.record(entry, request.kind, clock.now() - startedAt, isQueued);
+      }
       const { status, headers, signature } = answer;
       return { type: 'answer', answer: { status, headers, signature, body: body.bytes } };
     } finally {
--- a/packages/gateway/tests/helpers.ts
+++ b/packages/gateway/tests/helpers.ts
@@ -3,6 +3,7 @@
 import newDirectory from '@cyclamengate/engines/newDirectory';
 import newHealth from '@cyclamengate/engines/newHealth';
 import newLoads from '@cyclamengate/engines/newLoads';
+import newPaces from '@cyclamengate/engines/newPaces';
 import UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamOutcome, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
@@ -106,6 +107,7 @@
   Object.keys(behaviours).forEach((id) => directory.put(newEntry(id)));
   const health = newHealth(clock, silentLog);
   const loads = newLoads(clock);
+  const paces = newPaces({ clock, loads, isListed: () => true });
   const candidates = newCandidates({
     regions: {},
     directory,
@@ -113,10 +115,11 @@
     coldLimits: { remaining: () => Number.POSITIVE_INFINITY },
     health,
     loads,
+    paces,
     failureDomain: 'detroit',
     isConnected: () => true,
   });
-  return { sent, directory, health, loads, candidates, client: new FakeClient() };
+  return { sent, directory, health, loads, paces, candidates, client: new FakeClient() };
 };
 
 export const newRequest = (
@@ -132,6 +135,7 @@
   customer: 'museum',
   lastEventId: null,
   service: 'portal',
+  kind: 'lookup',
   homes: null,
   isIdempotent: true,
   maxUpstreams: 3,
