Hosts share the paces that they measured, and agree on them

Cause: engines are assigned to models by every host alone, so all of them need the same figures; and a host that has just started, or that used an upstream rarely, knew nothing of it. Change: a heartbeat carries the upstreams clearly faster or slower than their peers; newMembers folds those of live hosts into a median, cached until a heartbeat with paces comes or a host expires. Only the first three hosts by name that measured an upstream share it. Without such upstreams heartbeats stay as they were. The median moves to common.

--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -65,6 +65,7 @@
   const { clock, log, store, host, incarnation, failureDomain, address, cores, leaseMs } = options;
   const { meter, regions, readRunningCounts, isLeaving } = options;
   let memberCount = 1;
+  let readPaces = (): Record<string, number> => ({});
 
   const heartbeatIntervalMs = (): number =>
     Math.max(MIN_HEARTBEAT_INTERVAL_MS, memberCount * HEARTBEAT_INTERVAL_MS_PER_HOST);
@@ -130,6 +131,12 @@
 
   const isFresh = (): boolean => clock.now() < follower.freshAt() + MAX_VIEW_AGE_MS;
 
+  /** Paces for a heartbeat; left out where there are none. */
+  const pacesToShare = (): Pick<Heartbeat, 'paces'> => {
+    const paces = members.selectPacesToShare(readPaces());
+    return Object.keys(paces).length > 0 ? { paces } : {};
+  };
+
   /** The next heartbeat of this host; each call increments the heartbeat number. */
   const nextHeartbeat = (): Heartbeat => {
     heartbeatNumber += 1;
@@ -143,6 +150,7 @@
       cores,
       isLeaving: isLeaving(),
       running: readRunningCounts(),
+      ...pacesToShare(),
       usage: meter.unreportedWindows(usage.isClosed),
       countedThrough: meter.currentWindow() - 1,
     };
@@ -228,6 +236,10 @@
     writeHeartbeat,
     owns: newOwnership({ clock, host, rank: rankInHomes, isFresh }),
     runningElsewhere: members.runningElsewhere,
+    /** @param read returns upstreams clearly faster or slower than their peers, as measured here */
+    sharePaces: (read: () => Record<string, number>): void => {
+      readPaces = read;
+    },
     tasks: { follow: follower.run, sendHeartbeats },
   };
 };
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -92,6 +92,8 @@
     loads,
     readHostLoads: coordination.members.hostLoads,
   });
+  coordination.sharePaces(upstreams.paces.unusual);
+  upstreams.paces.setSharedPaces(coordination.members.paces);
   const { directory, evacuations, health, paces, connections, crashHistory, client, candidates } =
     upstreams;
   const homesOf = ({ route, customer }: BatchOwner): Homes => {
--- a/packages/engines/src/chooseUpstream.ts
+++ b/packages/engines/src/chooseUpstream.ts
@@ -1,4 +1,4 @@
-import median from './median.js';
+import median from '@cyclamengate/common/median';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 /** An upstream with the data that the choice is based on. */
--- a/packages/engines/src/computeLastingPaces.ts
+++ b/packages/engines/src/computeLastingPaces.ts
@@ -1,5 +1,5 @@
 import groupBy from '@cyclamengate/common/groupBy';
-import median from './median.js';
+import median from '@cyclamengate/common/median';
 
 /** A measured time of one unit of work. */
 export interface PaceSample {
--- a/packages/engines/src/newHealth.ts
+++ b/packages/engines/src/newHealth.ts
@@ -1,6 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
-import median from './median.js';
+import median from '@cyclamengate/common/median';
 
 /** Back-off after the first failure; doubles with each consecutive one. */
 const INITIAL_BACKOFF_MS = 300;
--- a/packages/engines/src/newKindTimes.ts
+++ b/packages/engines/src/newKindTimes.ts
@@ -1,5 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
-import median from './median.js';
+import median from '@cyclamengate/common/median';
 
 /** Newest calls of a kind, of all upstreams of its service. */
 const MAX_SAMPLES = 31;
--- a/packages/hosts/src/newMembers.ts
+++ b/packages/hosts/src/newMembers.ts
@@ -1,6 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import hadOutage from '@cyclamengate/store/hadOutage';
 import type { Heartbeat } from './coordinationRecord.js';
+import { foldPaces, selectPacesToShare } from './foldPaces.js';
 
 export interface Member {
   host: string;
@@ -61,6 +62,7 @@
 
   let cachedLive: CachedResult<Member[]> | null = null;
   let cachedLoad: CachedResult<Map<string, number>> | null = null;
+  let cachedPaces: CachedResult<Map<string, number>> | null = null;
 
   const currentViewTime = (): number => viewTime ?? clock.now();
 
@@ -78,6 +80,7 @@
       previous.heartbeat.incarnation === heartbeat.incarnation;
     if (!isSameLiveIncarnation) cachedLive = null;
     cachedLoad = null;
+    if (heartbeat.paces || previous?.heartbeat.paces) cachedPaces = null;
     const deadline = clock.now() + readLifetimeMs();
     knownHosts.set(heartbeat.host, { heartbeat, deadline, loadDeadline: deadline });
   };
@@ -105,6 +108,16 @@
     return { value, validUntil: Math.min(...others.map(({ loadDeadline }) => loadDeadline)) };
   };
 
+  const liveHeartbeats = (): Heartbeat[] =>
+    [...knownHosts.values()].filter(isLive).map(({ heartbeat }) => heartbeat);
+
+  const computePaces = (): CachedResult<Map<string, number>> => ({
+    value: foldPaces(liveHeartbeats()),
+    validUntil: Math.min(
+      ...[...knownHosts.values()].filter(isLive).map(({ deadline }) => deadline),
+    ),
+  });
+
   const isRecent = ({ deadline }: KnownHost): boolean =>
     clock.now() < deadline + RECENT_HOST_RETENTION_MS;
 
@@ -116,7 +129,10 @@
         knownHost.deadline = Math.max(knownHost.deadline, at + readLifetimeMs());
       });
     }
-    if (viewTime === null) cachedLive = null;
+    if (viewTime === null) {
+      cachedLive = null;
+      cachedPaces = null;
+    }
     viewTime = Math.max(viewTime ?? at, at);
   };
 
@@ -153,6 +169,18 @@
       if (!cachedLoad || clock.now() >= cachedLoad.validUntil) cachedLoad = computeLoad();
       return cachedLoad.value;
     },
+    /**
+     * Paces of upstreams that differ clearly from their peers, as the live hosts measured them. They
+     * expire by the view, so that hosts with the same view agree, and no engine changes its models
+     * because the store is unavailable.
+     */
+    paces: (): ReadonlyMap<string, number> => {
+      if (!cachedPaces || currentViewTime() >= cachedPaces.validUntil) cachedPaces = computePaces();
+      return cachedPaces.value;
+    },
+    /** What this host has to share of the paces that it measured. */
+    selectPacesToShare: (paces: Record<string, number>): Record<string, number> =>
+      selectPacesToShare(host, paces, liveHeartbeats()),
     /**
      * Hosts that may send requests to upstreams, with the number that each is running, by name. During
      * an outage the list stays as it was.
--- a/packages/hosts/tests/newMembers.test.ts
+++ b/packages/hosts/tests/newMembers.test.ts
@@ -114,3 +114,66 @@
   }
   t.is(live(), 'b c', 'a host without heartbeats is not live');
 });
+
+test('hosts agree on the pace of an upstream by the median of live heartbeats', (t) => {
+  // One host measures nonsense, another does not send paces yet. Engines would be assigned to models
+  // by these figures, differently on each host.
+  const { members } = newParts();
+  const share = (host: string, paces?: Record<string, number>): void =>
+    members.apply(newHeartbeat(host, { paces }));
+  share('a', { fast: 0.5, slow: 2, odd: 0 });
+  share('b', { fast: 0.4, slow: 2.4, odd: -3 });
+  share('c', { fast: 99, slow: 2.2, odd: 1e9 });
+  share('d');
+  t.deepEqual([...members.paces()], Object.entries({ fast: 0.5, slow: 2.2 }));
+});
+
+test('the pace that a host shared expires with the host, and at once when it leaves', async (t) => {
+  // A host measured an engine as slow and died. Guards against an engine that is shunned for ever.
+  const { clock, members, beat } = newParts();
+  members.apply(newHeartbeat('b', { paces: { slow: 2 } }));
+  beat('a');
+  t.is(members.paces().get('slow'), 2);
+  await clock.advance(1_000);
+  beat('a');
+  t.is(members.paces().get('slow'), 2);
+  await clock.advance(700);
+  beat('a');
+  t.deepEqual([...members.paces()], []);
+  members.apply(newHeartbeat('c', { paces: { slow: 3 } }));
+  t.is(members.paces().get('slow'), 3);
+  members.apply(newHeartbeat('c', { paces: { slow: 3 }, isLeaving: true }));
+  t.deepEqual([...members.paces()], []);
+});
+
+test('shared paces change with the next heartbeat and stay while the view does not advance', async (t) => {
+  // The store is unavailable for six seconds. Guards against engines that change their models then.
+  const { clock, members, beat } = newParts();
+  members.apply(newHeartbeat('b', { paces: { slow: 2 } }));
+  beat('a');
+  await clock.advance(6_000);
+  t.is(members.paces().get('slow'), 2);
+  members.apply(newHeartbeat('b'));
+  t.deepEqual([...members.paces()], []);
+});
+
+test('only three hosts share the pace of one upstream', (t) => {
+  // Ninety hosts that share twenty-five fast engines would triple what every host has to read.
+  const clock = newManualClock();
+  const measured = { fast: 0.5 };
+  const hosts = Array.from({ length: 90 }, (_, index) => `host-${String(index).padStart(2, '0')}`);
+  const all = hosts.map((host) => newMembers(clock, host, () => HEARTBEAT_LIFETIME_MS));
+  for (let round = 0; round < 3; round += 1) {
+    all.forEach((own, index) => {
+      const paces = own.selectPacesToShare(measured);
+      const heartbeat = newHeartbeat(hosts[index] ?? '', { paces });
+      all.forEach((members) => members.apply(heartbeat));
+    });
+  }
+  const isSharing = all.map((own) => Object.keys(own.selectPacesToShare(measured)).length > 0);
+  t.is(isSharing.filter(Boolean).length, 3);
+  t.true(all.every((members) => members.paces().get('fast') === 0.5));
+  // The first host leaves; the next in the order takes over.
+  all.forEach((members) => members.apply(newHeartbeat('host-00', { isLeaving: true })));
+  t.deepEqual(all[3]?.selectPacesToShare(measured), measured);
+});
