Requests go where they are likely to finish first

Cause: an upstream faster than its peers got no more than its share, since the ratio of latencies was cut at 1; a second request was sent by a median over calls of all kinds; noise reported by an upstream did not count. Change: chooseUpstream weighs utilization and queue by pace, also below 1; a fast upstream with all slots taken never comes before one with a free slot. newPlainRelay waits for a multiple of the time of the call's kind at its upstream. findMoves compares lasting paces, so items stay during a neighbour's noise. newHealth tracks failures alone: its latencies, and findMedianLatencyMs and computeSlowdown, are gone. item.started and request.done tell the pace.

--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from '@cyclamengate/common/newMetrics';
 import { readBody } from '@cyclamengate/common/readBody';
 import sendJsonAndClose from '@cyclamengate/common/sendJsonAndClose';
+import roundPace from '@cyclamengate/engines/roundPace';
 import { findCaller, findRoute, pickService } from '@cyclamengate/gateway/findRoute';
 import findHomes from '@cyclamengate/gateway/findHomes';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
@@ -129,6 +130,7 @@
       customer,
       outcome: outcome.type === 'answer' ? outcome.answer.status : outcome.refusal.code,
       upstream: outcome.type === 'answer' ? outcome.upstream : null,
+      pace: outcome.type === 'answer' ? roundPace(outcome.pace) : null,
       upstreams: outcome.upstreams,
       tookMs: Math.round(tookMs),
       isCallerGone: controller.signal.aborted,
--- a/packages/batches/src/findMoves.ts
+++ b/packages/batches/src/findMoves.ts
@@ -1,4 +1,4 @@
-import { computeSlowdown, findMedianLatencyMs } from '@cyclamengate/engines/chooseUpstream';
+import median from '@cyclamengate/common/median';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 
 /** A running item. */
@@ -32,10 +32,10 @@
   candidates: Candidate[],
   isDraining: (id: string) => boolean,
 ): RunningItem[] => {
-  const medianLatencyMs = findMedianLatencyMs(candidates);
+  const medianPace = median(candidates.map(({ lastingPace }) => lastingPace)) ?? 1;
   const slowEngines = new Set(
     candidates
-      .filter(({ latencyMs }) => computeSlowdown(latencyMs, medianLatencyMs) > SLOWDOWN_THRESHOLD)
+      .filter(({ lastingPace }) => lastingPace / medianPace > SLOWDOWN_THRESHOLD)
       .map(({ entry }) => entry.id),
   );
   const freeSlots = candidates
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -6,6 +6,7 @@
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { Paces } from '@cyclamengate/engines/newPaces';
+import roundPace from '@cyclamengate/engines/roundPace';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import { getLoadedVersion } from '@cyclamengate/engines/upstreamEntry';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
@@ -145,7 +146,7 @@
     task.isCompletionSaved = false;
   };
 
-  const start = async (task: ItemTask, { entry }: Candidate): Promise<void> => {
+  const start = async (task: ItemTask, { entry, pace }: Candidate): Promise<void> => {
     const { state, item } = task;
     const { batch } = state;
     const route = routeOf(state);
@@ -163,6 +164,7 @@
       upstream: entry.id,
       load: loads.estimate(entry.id),
       slots: entry.slots,
+      pace: roundPace(pace),
       version: batch.model === null ? null : getLoadedVersion(entry, batch.model),
       lastEventId: progress.lastEventId,
       run: task.runs,
@@ -190,10 +192,7 @@
       isVersionAllowed: (version) =>
         version >= batch.leastVersion &&
         (!isSingleVersion || progress.versions.every((other) => other === version)),
-      onEvent: (gapMs) => {
-        health.recordLatency(entry.id, gapMs);
-        paces.record(entry, EVENT_KIND, gapMs);
-      },
+      onEvent: (gapMs) => paces.record(entry, EVENT_KIND, gapMs),
       onLoad: (load) => loads.report(entry.id, load),
       signal: AbortSignal.any([task.controller.signal, runController.signal]),
     });
--- a/packages/engines/src/chooseUpstream.ts
+++ b/packages/engines/src/chooseUpstream.ts
@@ -1,4 +1,3 @@
-import median from '@cyclamengate/common/median';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 /** An upstream with the data that the choice is based on. */
@@ -6,8 +5,6 @@
   entry: UpstreamEntry;
   /** Estimated number of requests at the upstream, from all hosts. */
   load: number;
-  /** Median time of a unit of work, in milliseconds; null while unknown. */
-  latencyMs: number | null;
   /**
    * Time that work takes there now, relative to the other upstreams of its service: 0.5 where it
    * takes half as long; 1 while unknown.
@@ -33,22 +30,24 @@
  */
 const NEW_CONNECTION_COST = 0.1;
 
-/** Median of the upstreams' latencies; null while none is known. */
-export const findMedianLatencyMs = (upstreams: Candidate[]): number | null =>
-  median(upstreams.flatMap(({ latencyMs }) => (latencyMs === null ? [] : [latencyMs])));
-
-/** Ratio of an upstream's latency to the median; at least 1. */
-export const computeSlowdown = (
-  latencyMs: number | null,
-  medianLatencyMs: number | null,
-): number =>
-  latencyMs === null || medianLatencyMs === null || medianLatencyMs === 0
-    ? 1
-    : Math.max(1, latencyMs / medianLatencyMs);
+/**
+ * Time until a request would be finished at an upstream, relative to that of a request alone at a
+ * common upstream; less one.
+ */
+const estimateDelay = ({ entry, load, pace }: Candidate): number => {
+  const utilization = (load + 1) / Math.max(1, entry.slots);
+  if (load < entry.slots) return utilization * pace + (pace - 1);
+  // At a full upstream the request has to wait for a slot, which outweighs all other costs.
+  const queueing = 1 + (load - entry.slots) / entry.slots;
+  // How long the requests before it will take is unknown, also at a fast upstream.
+  return pace < 1
+    ? 1 + (utilization + queueing - 1) * pace
+    : (utilization + queueing) * pace + (pace - 1);
+};
 
 /**
  * Chooses the upstream on which a request is likely to finish first: the one with the lowest
- * utilization, weighted by how much slower the upstream is than its peers. Upstreams in back-off
+ * utilization, weighted by its pace. A fast upstream is preferred while it has a free slot. Upstreams in back-off
  * are chosen only if there are no others, so that a service is never left without upstreams; cold
  * ones at their limit never are.
  */
@@ -59,18 +58,10 @@
   const startable = candidates.filter(({ remainingStarts }) => remainingStarts > 0);
   const available = startable.filter(({ isBackedOff }) => !isBackedOff);
   const eligible = available.length > 0 ? available : startable;
-  const medianLatencyMs = findMedianLatencyMs(eligible);
-  const estimateCost = (candidate: Candidate): number => {
-    const { entry, load, latencyMs } = candidate;
-    const slowdown = computeSlowdown(latencyMs, medianLatencyMs);
-    const utilization = (load + 1) / Math.max(1, entry.slots);
-    // At a full upstream the request has to wait for a slot, which outweighs all other costs.
-    const queueing = load >= entry.slots ? 1 + (load - entry.slots) / entry.slots : 0;
-    const networkCost =
-      (candidate.isOwnDomain ? 0 : CROSS_DOMAIN_COST) +
-      (candidate.isConnected ? 0 : NEW_CONNECTION_COST);
-    return (utilization + queueing) * slowdown + (slowdown - 1) + networkCost;
-  };
+  const estimateCost = (candidate: Candidate): number =>
+    estimateDelay(candidate) +
+    (candidate.isOwnDomain ? 0 : CROSS_DOMAIN_COST) +
+    (candidate.isConnected ? 0 : NEW_CONNECTION_COST);
   const ranked = eligible
     .map((candidate) => ({ candidate, cost: estimateCost(candidate) + random() * 0.01 }))
     .sort((left, right) => left.cost - right.cost);
--- a/packages/engines/src/newHealth.ts
+++ b/packages/engines/src/newHealth.ts
@@ -1,34 +1,22 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
-import median from '@cyclamengate/common/median';
 
 /** Back-off after the first failure; doubles with each consecutive one. */
 const INITIAL_BACKOFF_MS = 300;
 /** Long enough to keep requests off a dead upstream, short enough to detect its recovery soon. */
 const MAX_BACKOFF_MS = 3_000;
-/** Newest latencies per upstream; one stream of an engine yields this many within a second. */
-const MAX_LATENCY_SAMPLES = 15;
-/** With fewer, a single late event would make the upstream look slow. */
-const MIN_LATENCY_SAMPLES = 5;
-/** A slow upstream that gets no requests is tried again after this time. */
-const LATENCY_TTL_MS = 8_000;
 
 interface UpstreamHealth {
   failures: number;
   backoffUntil: number;
-  /** The newest times of a unit of work. */
-  latenciesMs: number[];
-  latenciesExpireAt: number;
 }
 
 /**
- * Tracks failures and latency of each upstream, as observed by this host.
+ * Tracks failures of each upstream, as observed by this host.
  *
  * An upstream can fail while it reports itself healthy, so only the outcomes of requests count. An
  * upstream that fails is avoided for a back-off that doubles with each consecutive failure; a
- * success ends the series. Latency is the median of the newest times: with an average, one pause in
- * one stream made an engine look slow, and hundreds of items a minute were moved away from healthy
- * engines.
+ * success ends the series.
  */
 const newHealth = (clock: Clock, log: EventLog) => {
   const healthById = new Map<string, UpstreamHealth>();
@@ -36,12 +24,7 @@
   const getOrCreate = (id: string): UpstreamHealth => {
     const known = healthById.get(id);
     if (known) return known;
-    const created: UpstreamHealth = {
-      failures: 0,
-      backoffUntil: -Infinity,
-      latenciesMs: [],
-      latenciesExpireAt: -Infinity,
-    };
+    const created: UpstreamHealth = { failures: 0, backoffUntil: -Infinity };
     healthById.set(id, created);
     return created;
   };
@@ -65,25 +48,7 @@
         restMs: backoffMs,
       });
     },
-    /**
-     * @param durationMs time of one unit of work: one event of a stream, or a complete plain call
-     */
-    recordLatency: (id: string, durationMs: number): void => {
-      const record = getOrCreate(id);
-      const isExpired = clock.now() >= record.latenciesExpireAt;
-      record.latenciesMs = [...(isExpired ? [] : record.latenciesMs), durationMs].slice(
-        -MAX_LATENCY_SAMPLES,
-      );
-      record.latenciesExpireAt = clock.now() + LATENCY_TTL_MS;
-    },
     isBackedOff: (id: string): boolean => clock.now() < getOrCreate(id).backoffUntil,
-    /** Median time of a unit of work, in milliseconds; null with too few samples. */
-    getLatencyMs: (id: string): number | null => {
-      const { latenciesMs, latenciesExpireAt } = getOrCreate(id);
-      const isReliable =
-        latenciesMs.length >= MIN_LATENCY_SAMPLES && clock.now() < latenciesExpireAt;
-      return isReliable ? median(latenciesMs) : null;
-    },
     remove: (id: string): void => {
       healthById.delete(id);
     },
--- a/packages/gateway/src/newCandidates.ts
+++ b/packages/gateway/src/newCandidates.ts
@@ -32,7 +32,6 @@
   const describe = (entry: UpstreamEntry): Candidate => ({
     entry,
     load: loads.estimate(entry.id),
-    latencyMs: health.getLatencyMs(entry.id),
     ...paces.describe(entry),
     isBackedOff: health.isBackedOff(entry.id),
     isOwnDomain: entry.failureDomain === failureDomain,
--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -105,7 +105,6 @@
         return { type: 'failed', reason: 'unsigned answer', isSilent: false };
       }
       health.recordSuccess(entry.id);
-      health.recordLatency(entry.id, clock.now() - startedAt);
       // A refusal or an error takes less time than the work.
       if (answer.status < 300) {
         const isQueued = (answer.load?.waiting ?? 0) > 0;
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -12,8 +12,8 @@
 import { notRunRefusal, uncertain, withRetryAt } from './refusal.js';
 import type { Refusal } from './refusal.js';
 
-/** A hedged request is sent after this multiple of the first upstream's usual latency. */
-const HEDGE_LATENCY_FACTOR = 2.5;
+/** A hedged request is sent after this multiple of the time that its kind takes at the upstream. */
+const HEDGE_TIME_FACTOR = 2.5;
 /** Half of the usual latency target of 190 ms; most calls take 45 ms, one in a hundred 180 ms. */
 const MIN_HEDGE_DELAY_MS = 100;
 /**
@@ -23,7 +23,14 @@
 const REDUNDANT_ATTEMPT_GRACE_MS = 300;
 
 export type RelayOutcome =
-  | { type: 'answer'; answer: CompleteAnswer; upstream: string; upstreams: number }
+  | {
+      type: 'answer';
+      answer: CompleteAnswer;
+      upstream: string;
+      /** Pace of the upstream when it was chosen. */
+      pace: number;
+      upstreams: number;
+    }
   /** `hasRun` is true if the request may have run at an upstream. */
   | { type: 'refusal'; refusal: Refusal; hasRun: boolean; upstreams: number };
 
@@ -41,17 +48,17 @@
  * that may not be repeated is only sent to another upstream if it is certain that it has not run.
  */
 const newPlainRelay = (options: PlainRelayOptions) => {
-  const { clock, log, client, candidates } = options;
+  const { clock, log, client, candidates, paces } = options;
   const attempt = newPlainAttempt(options);
 
   const computeHedgeDelayMs = (
-    { latencyMs }: Candidate,
-    { minHedgeDelayMs = 0 }: RelayedRequest,
+    { entry }: Candidate,
+    { kind, minHedgeDelayMs = 0 }: RelayedRequest,
   ): number =>
     Math.max(
       minHedgeDelayMs,
       MIN_HEDGE_DELAY_MS,
-      latencyMs === null ? 0 : latencyMs * HEDGE_LATENCY_FACTOR,
+      (paces.expectedMs(entry, kind) ?? 0) * HEDGE_TIME_FACTOR,
     );
 
   /** An answer is final unless it is a server error, which is retried if that is allowed. */
@@ -67,9 +74,8 @@
     const running = new Set<Promise<{ result: Attempt; candidate: Candidate }>>();
     /** Whether an upstream may have run the request. */
     let hasRun = false;
-    let lastFailure: CompleteAnswer | null = null;
+    let lastFailure: { answer: CompleteAnswer; candidate: Candidate } | null = null;
     let lastReason = 'no upstream';
-    let lastUpstream = '';
     /** When the request may be sent again; null if it is not held. */
     let heldUntil: number | null = null;
 
@@ -113,6 +119,14 @@
       return outcome;
     };
 
+    const answered = (answer: CompleteAnswer, { entry, pace }: Candidate): RelayOutcome => ({
+      type: 'answer',
+      answer,
+      upstream: entry.id,
+      pace,
+      upstreams: tried.size,
+    });
+
     const mayStart = (): boolean =>
       attempts < request.maxUpstreams &&
       (request.isIdempotent || !hasRun) &&
@@ -167,16 +181,10 @@
         const { result, candidate } = first;
         if (result.type === 'answer') {
           if (isFinal(result) || !mayStart()) {
-            return finish({
-              type: 'answer',
-              answer: result.answer,
-              upstream: candidate.entry.id,
-              upstreams: tried.size,
-            });
+            return finish(answered(result.answer, candidate));
           }
           hasRun = true;
-          lastFailure = result.answer;
-          lastUpstream = candidate.entry.id;
+          lastFailure = { answer: result.answer, candidate };
           lastReason = `status ${result.answer.status}`;
         } else if (result.type === 'held') {
           heldUntil = result.retryAt;
@@ -190,10 +198,7 @@
         if (running.size === 0) newestCandidate = startNext();
       }
     }
-    if (lastFailure) {
-      const upstream = lastUpstream;
-      return finish({ type: 'answer', answer: lastFailure, upstream, upstreams: tried.size });
-    }
+    if (lastFailure) return finish(answered(lastFailure.answer, lastFailure.candidate));
     const isPastDeadline = clock.now() >= request.deadline - TIMER_SLACK_MS;
     // A request that ended upstreams must not come back before every host knows of it.
     const refusal = hasRun
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -12,7 +12,7 @@
 import type { UpstreamAnswer } from '@cyclamengate/engines/UpstreamClient';
 import type { Candidates } from './newCandidates.js';
 import newEventSplitter from './newEventSplitter.js';
-import type { RelayedRequest } from './newPlainAttempt.js';
+import type { CompleteAnswer, RelayedRequest } from './newPlainAttempt.js';
 import type { RelayOutcome } from './newPlainRelay.js';
 import readAnswerBody from './readAnswerBody.js';
 import { notRunRefusal, uncertain, withRetryAt } from './refusal.js';
@@ -34,6 +34,13 @@
   loads: Loads;
 }
 
+/** An answer that is final unless another upstream does better. */
+interface StreamFailure {
+  answer: UpstreamAnswer;
+  body: Buffer;
+  candidate: Candidate;
+}
+
 type AttemptEnd = 'whole' | 'broken' | 'not-run' | 'held' | 'failed' | 'caller-gone';
 
 /**
@@ -57,7 +64,7 @@
     let { lastEventId } = request;
     /** Whether an upstream may have run the request. */
     let hasRun = false;
-    let failure: { answer: UpstreamAnswer; body: Buffer; upstream: string } | null = null;
+    let failure: StreamFailure | null = null;
     let lastReason = 'no upstream';
     /** When the request may be sent again; null if it is not held. */
     let heldUntil: number | null = null;
@@ -81,9 +88,10 @@
 
     /** @param idle aborts the run when the upstream is silent; null if nothing could resume it */
     const runAttempt = async (
-      { entry }: Candidate,
+      candidate: Candidate,
       idle: IdleTimeout | null,
     ): Promise<AttemptEnd> => {
+      const { entry } = candidate;
       const outcome = await client.send(
         entry,
         { ...request, lastEventId, mustNotRepeat: !request.isIdempotent },
@@ -108,7 +116,7 @@
         const body = await readAnswerBody(answer);
         lastReason = `status ${answer.status}`;
         if (body.type === 'truncated') return 'broken';
-        failure = { answer, body: body.bytes, upstream: entry.id };
+        failure = { answer, body: body.bytes, candidate };
         return 'failed';
       }
       try {
@@ -121,6 +129,14 @@
       }
     };
 
+    const answered = (answer: CompleteAnswer, { entry, pace }: Candidate): RelayOutcome => ({
+      type: 'answer',
+      answer,
+      upstream: entry.id,
+      pace,
+      upstreams: tried.size,
+    });
+
     const mayStart = (): boolean =>
       !signal.aborted &&
       heldUntil === null &&
@@ -148,7 +164,7 @@
         response.end();
         health.recordSuccess(next.entry.id);
         const answer = { status: 200, headers: {}, signature: null, body: Buffer.alloc(0) };
-        return { type: 'answer', answer, upstream: next.entry.id, upstreams: tried.size };
+        return answered(answer, next);
       }
       hasRun = hasRun || end === 'broken' || end === 'failed';
       log.info('stream.run-ended', {
@@ -161,11 +177,11 @@
     }
     if (response.headersSent) response.destroy();
     const upstreams = tried.size;
-    const failed = failure as { answer: UpstreamAnswer; body: Buffer; upstream: string } | null;
+    const failed = failure as StreamFailure | null;
     if (failed && !response.headersSent) {
       const { status, headers, signature } = failed.answer;
       const answer = { status, headers, signature, body: failed.body };
-      return { type: 'answer', answer, upstream: failed.upstream, upstreams };
+      return answered(answer, failed.candidate);
     }
     const refusal = hasRun
       ? withRetryAt(
--- a/packages/gateway/tests/newPlainRelay.test.ts
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -238,3 +238,32 @@
   for (let count = 0; count < 5; count += 1) await relay(newRequest(clock), neverAborted);
   t.deepEqual([...new Set(sent.map(({ upstream }) => upstream))], ['staying']);
 });
+
+test('a second request is sent by the usual time of the kind of call', async (t) => {
+  // One service gets calls of 25 and of 200 ms. By a latency of all calls, hung lookups would wait
+  // long, or most of the long calls would be sent twice.
+  const clock = newManualClock();
+  const taking =
+    (ms: number): Behaviour =>
+    async (request, signal) => {
+      await clock.sleepUntil(clock.now() + ms, signal);
+      return answering(['ok'])(request, signal);
+    };
+  const { relay, sent, paces } = newTestRelay({ one: taking(400), two: taking(400) }, clock);
+  for (let count = 0; count < 8; count += 1) {
+    clock.jump(105);
+    ['one', 'two'].forEach((id) => {
+      paces.record(newEntry(id), 'lookup', 25);
+      paces.record(newEntry(id), 'scoring', 200);
+    });
+  }
+  const scoring = relay(newRequest(clock, { kind: 'scoring' }), neverAborted);
+  await clock.advance(410);
+  t.is((await scoring).type, 'answer');
+  t.is(sent.length, 1);
+  const lookup = relay(newRequest(clock, { kind: 'lookup' }), neverAborted);
+  await clock.advance(110);
+  t.is(sent.length, 3, 'two more');
+  await clock.advance(1_000);
+  t.is((await lookup).type, 'answer');
+});
