A slow upstream that is tried again keeps its shared pace until it is measured

Cause: with the first sample after eight seconds its pace was unknown, so this host went by what others shared and did not try it, while what it shared itself came and went. Change: until five new samples have come this host takes it for usual, and shares the pace from before.

--- a/packages/engines/src/computeLastingPaces.ts
+++ b/packages/engines/src/computeLastingPaces.ts
@@ -10,7 +10,7 @@
 }
 
 /** With fewer, a single late event would make the upstream look slow. */
-const MIN_SAMPLES = 5;
+export const MIN_SAMPLES = 5;
 /** Within this factor upstreams count as equal: slots in use and noise alone make a fifth. */
 const EQUAL_FACTOR = 1.4;
 
--- a/packages/engines/src/newPaces.ts
+++ b/packages/engines/src/newPaces.ts
@@ -1,5 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
-import computeLastingPaces from './computeLastingPaces.js';
+import computeLastingPaces, { MIN_SAMPLES } from './computeLastingPaces.js';
 import type { PaceSample } from './computeLastingPaces.js';
 import newKindTimes from './newKindTimes.js';
 import type { Loads } from './newLoads.js';
@@ -27,6 +27,8 @@
   entry: UpstreamEntry;
   samples: PaceSample[];
   sampledAt: number;
+  /** Its pace before it is tried again; null unless its new samples are still too few. */
+  retriedPace: number | null;
 }
 
 interface MeasuredService {
@@ -90,7 +92,12 @@
   const getOrCreateUpstream = (service: MeasuredService, entry: UpstreamEntry) => {
     const known = service.upstreams.get(entry.id);
     if (known && isSameIncarnation(known.entry, entry)) return known;
-    const created: MeasuredUpstream = { entry, samples: [], sampledAt: -Infinity };
+    const created: MeasuredUpstream = {
+      entry,
+      samples: [],
+      sampledAt: -Infinity,
+      retriedPace: null,
+    };
     service.upstreams.set(entry.id, created);
     return created;
   };
@@ -112,11 +119,15 @@
     withinMs: number,
   ): boolean => clock.now() < (upstreams.get(id)?.sampledAt ?? -Infinity) + withinMs;
 
+  const isRetried = ({ upstreams }: MeasuredService, id: string): boolean =>
+    (upstreams.get(id)?.retriedPace ?? null) !== null;
+
   /** Null where this host has measured too little itself. */
   const measuredPace = ({ id, service: name }: UpstreamEntry): number | null => {
     const service = services.get(name);
     const pace = service && readLastingPaces(service).get(id);
-    if (!service || pace === undefined) return null;
+    if (!service) return null;
+    if (pace === undefined) return isRetried(service, id) ? 1 : null;
     return pace > 1 && !wasSampledWithin(service, id, RETRY_SLOW_MS) ? 1 : pace;
   };
 
@@ -133,12 +144,17 @@
     const upstream = getOrCreateUpstream(service, entry);
     const silentMs = clock.now() - upstream.sampledAt;
     // A slow upstream is tried again, and what made it slow may be over.
-    const isRetried = silentMs >= RETRY_SLOW_MS && (service.lastingPaces.get(entry.id) ?? 1) > 1;
-    upstream.samples = [
-      ...(isRetried ? [] : upstream.samples),
-      { kind, durationMs: durationMs / momentaryPace(entry.id) },
-    ].slice(-MAX_SAMPLES);
+    if (silentMs >= RETRY_SLOW_MS) {
+      const pace = readLastingPaces(service).get(entry.id) ?? 1;
+      if (pace > 1) {
+        upstream.samples = [];
+        upstream.retriedPace = pace;
+      }
+    }
+    const newest = { kind, durationMs: durationMs / momentaryPace(entry.id) };
+    upstream.samples = [...upstream.samples, newest].slice(-MAX_SAMPLES);
     upstream.sampledAt = clock.now();
+    if (upstream.samples.length >= MIN_SAMPLES) upstream.retriedPace = null;
     if (service.refreshAt === Infinity) service.refreshAt = service.refreshedAt + REFRESH_MS;
   };
 
@@ -146,8 +162,12 @@
   const listUnusual = (): [string, number][] =>
     [...services.values()].flatMap((service) => {
       const lastingPaces = readLastingPaces(service);
-      if (lastingPaces.size < MIN_PEERS_TO_SHARE) return [];
-      return [...lastingPaces].filter(
+      const known = [...service.upstreams].flatMap(([id, { retriedPace }]): [string, number][] => {
+        const pace = lastingPaces.get(id) ?? retriedPace;
+        return pace === null ? [] : [[id, pace]];
+      });
+      if (known.length < MIN_PEERS_TO_SHARE) return [];
+      return known.filter(
         ([id, pace]) => pace < 1 || (pace > 1 && wasSampledWithin(service, id, SHARE_SLOW_MS)),
       );
     });
--- a/packages/engines/tests/newPaces.test.ts
+++ b/packages/engines/tests/newPaces.test.ts
@@ -121,6 +121,21 @@
   t.is(paceOf('slow'), 3.33);
 });
 
+test('while a slow engine is tried again this host uses it, and others keep its pace', async (t) => {
+  // Two hosts measured it. Guards against one that believes the other, so that nobody tries it, and
+  // against an engine that gets and loses its models every eight seconds.
+  const { clock, paces, work, paceOf } = newFixture();
+  work(15, { a: 45, b: 45, slow: 150 });
+  paces.setSharedPaces(() => new Map([['slow', 3.3]]));
+  await clock.advance(8_500);
+  work(3, { a: 45, b: 45, slow: 150 });
+  await clock.advance(200);
+  t.is(paceOf('slow'), 1);
+  t.deepEqual(paces.unusual(), { slow: 3.3 });
+  work(15, { a: 45, b: 45, slow: 45 });
+  t.deepEqual(paces.unusual(), {});
+});
+
 test('the pace is unknown with too few events', (t) => {
   const { work, paceOf } = newFixture();
   work(4, { a: 45, b: 45, c: 400 });
