--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -92,7 +92,9 @@
     loads,
     readHostLoads: coordination.members.hostLoads,
   });
-  const { directory, evacuations, health, connections, crashHistory, client, candidates } =
+  coordination.sharePaces(upstreams.paces.unusual);
+  upstreams.paces.setSharedPaces(coordination.members.paces);
+  const { directory, evacuations, health, paces, connections, crashHistory, client, candidates } =
     upstreams;
   const homesOf = ({ route, customer }: BatchOwner): Homes => {
     const effective = settingsView.read();
@@ -172,6 +174,7 @@
     candidates,
     health,
     loads,
+    paces,
     scorer: newItemScorer({ clock, log, relay: upstreams.relay, readSettings: settingsView.read }),
     readSettings: settingsView.read,
     isOwner: (subject, homes) => !isLeaving && coordination.owns(`batches/${subject}`, homes),
--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -14,6 +14,8 @@
 import newHealth from '@cyclamengate/engines/newHealth';
 import soleTrials from '@cyclamengate/engines/soleTrials';
 import type { Loads } from '@cyclamengate/engines/newLoads';
+import newPaces from '@cyclamengate/engines/newPaces';
+import { isSameIncarnation } from '@cyclamengate/engines/upstreamEntry';
 import newCandidates from '@cyclamengate/gateway/newCandidates';
 import type { ServiceReport } from '@cyclamengate/gateway/serviceReport';
 import newPlainRelay from '@cyclamengate/gateway/newPlainRelay';
@@ -42,6 +44,14 @@
   const directory = newDirectory(clock, log);
   const evacuations = newEvacuations({ clock, log });
   const health = newHealth(clock, log);
+  const paces = newPaces({
+    clock,
+    loads,
+    isListed: (entry) => {
+      const listed = directory.find(entry.id);
+      return listed !== undefined && isSameIncarnation(listed, entry);
+    },
+  });
   const connections = newConnections();
   const crashHistory = newCrashHistory(clock);
   const coldLimits = newColdLimits({
@@ -58,7 +68,12 @@
     clock,
     log,
     metrics,
-    client: newColdGuard(newHttpUpstreamClient(clock, connections), coldLimits),
+    client: newColdGuard(
+      newHttpUpstreamClient(clock, connections, (part) =>
+        metrics.count(part === 'report' ? 'load_reports_invalid' : 'load_paces_invalid'),
+      ),
+      coldLimits,
+    ),
     onEnded: coldLimits.suspectRestart,
     directory,
     history: crashHistory,
@@ -75,13 +90,15 @@
     coldLimits,
     health,
     loads,
+    paces,
     failureDomain,
     isConnected: (entry) => client.isConnected(entry),
   });
-  const relayParts = { clock, log, client, candidates, health, loads };
+  const relayParts = { clock, log, client, candidates, health, loads, paces };
   directory.onRemoved((entry) => {
     client.closeConnections(entry);
     health.remove(entry.id);
+    paces.remove(entry);
     coldLimits.remove(entry);
   });
 
@@ -89,11 +106,14 @@
   metrics.gauge('requests_suspected', crashHistory.size);
   metrics.gauge('domains_evacuated', () => evacuations.list().length);
   metrics.gauge('upstreams_cold', countCold);
+  metrics.gauge('upstreams_slow', paces.countSlow);
+  metrics.gauge('upstreams_fast', paces.countFast);
 
   return {
     directory,
     evacuations,
     health,
+    paces,
     connections,
     crashHistory,
     client,
