Hosts of a large fleet stop asking one another for settings while the store answers

Cause: with more than 48 hosts a read of the operator's topic waits for up to 1,250 ms, so that settings without a change are 2.5 s old before the next read ends. From 2.0 s on a host asks three peers for newer evacuations and settings, although the store answers: up to six calls between hosts a second and host, over a client and a module of Node.js that an idle host doesn't use otherwise. Change: a read of the operator's topic waits for at most 800 ms. The age from which peers are asked stays, and so does the time in which a host that alone lacks the store learns of a change.

--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -23,7 +23,9 @@
 const UPSTREAMS_READ_INTERVAL_MS = 200;
 /** A read that was lost in a network partition holds up the next for this and the store's timeout. */
 const READ_WAIT_MS = 500;
-/** Above the longest wait of a read, so that peers are only asked while the store does not answer. */
+/** Without a new record, settings are as old as two reads that waited for this. */
+const MAX_SETTINGS_READ_WAIT_MS = 800;
+/** Above the age that two reads give, so that peers are only asked while the store does not answer. */
 const MAX_SETTINGS_AGE_MS = 2_000;
 const PEER_ASK_INTERVAL_MS = 1_000;
 
@@ -101,7 +103,7 @@
     store,
     topic: OPERATOR_TOPIC,
     readIntervalMs: () => SETTINGS_READ_INTERVAL_MS,
-    readWaitMs,
+    readWaitMs: () => Math.min(MAX_SETTINGS_READ_WAIT_MS, readWaitMs()),
     apply: applyOperatorRecord,
   });
   const upstreamsFollower = newKeyedFollower({
--- a/apps/host/tests/followPlatform.test.ts
+++ b/apps/host/tests/followPlatform.test.ts
@@ -1,9 +1,11 @@
+import type Clock from '@cyclamengate/common/Clock';
 import { CUSTOMER_KEY, newOperatorSettings } from '@cyclamengate/app-platform-standin/newPlatform';
 import newDirectory from '@cyclamengate/engines/newDirectory';
 import newEvacuations from '@cyclamengate/engines/newEvacuations';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import newSettingsView from '@cyclamengate/gateway/newSettingsView';
 import newMemoryStore, { encodeKeyedBody, newNoFaults } from '@cyclamengate/store/newMemoryStore';
+import type Store from '@cyclamengate/store/Store';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import followPlatform from '../src/followPlatform.js';
@@ -14,8 +16,27 @@
   memory.put('keyed.op', [encodeKeyedBody('config', JSON.stringify(value))]);
 };
 
+const POLL_INTERVAL_MS = 10;
+
+/** Holds reads open by the given clock, where the memory store waits in real time. */
+const holdReadsBy = (clock: Clock, store: Store): Store => {
+  const read = store.read.bind(store);
+  Object.assign(store, {
+    read: async (topic: string, from: number, waitMs: number, signal?: AbortSignal) => {
+      const waitUntil = clock.now() + waitMs;
+      for (;;) {
+        const page = await read(topic, from, 0, signal);
+        const isEmpty = page.ok && page.val.records.length === 0;
+        if (!isEmpty || clock.now() >= waitUntil || signal?.aborted) return page;
+        await clock.sleepUntil(Math.min(waitUntil, clock.now() + POLL_INTERVAL_MS), signal);
+      }
+    },
+  });
+  return store;
+};
+
 /** A host that follows the store, and a peer whose settings are those of the store. */
-const newFollower = (t: ExecutionContext) => {
+const newFollower = (t: ExecutionContext, readIntervalFactor = 1) => {
   const clock = newManualClock();
   const memory = newMemoryStore();
   const faults = newNoFaults();
@@ -29,11 +50,11 @@
     log: silentLog,
     settingsView: view,
     directory: newDirectory(clock, silentLog),
-    readIntervalFactor: () => 1,
+    readIntervalFactor: () => readIntervalFactor,
   });
   const host = followPlatform({
     ...newParts(settingsView),
-    store: memory.newView(faults),
+    store: holdReadsBy(clock, memory.newView(faults)),
     evacuations,
     peers: {
       fetchEvacuations: async () => peerEvacuations.all(),
@@ -46,7 +67,7 @@
   });
   const peer = followPlatform({
     ...newParts(peerView),
-    store: memory.newView(),
+    store: holdReadsBy(clock, memory.newView()),
     evacuations: peerEvacuations,
     peers: { fetchNewerSettings: async () => [], fetchEvacuations: async () => [] },
   });
@@ -138,3 +159,14 @@
   await clock.advance(1_000);
   t.true(evacuations.isEvacuated('detroit'));
 });
+
+test('a host of a large fleet does not ask its peers while the store answers', async (t) => {
+  // Guards against settings that count as old between two reads, so that all hosts call one another.
+  const { clock, settingsView, asked, memory, waitFor } = newFollower(t, 2.5);
+  publish(memory, newOperatorSettings(1));
+  await waitFor(() => settingsView.version() === 1);
+  const askedAtStart = asked.length;
+  const endsAt = clock.now() + 20_000;
+  await waitFor(() => clock.now() >= endsAt);
+  t.is(asked.length, askedAtStart);
+});
