A host starts with V8's code cache of its program, written by the build

Change: the build runs a host for some seconds under the flags of deploy/system.toml and writes the code cache of what it called. The program is a script that is loaded with the cache; without a cache, or with one that V8 rejects, it says so in one line and starts as before. The program's file is now cyclamengate-host.cjs.

--- a/apps/host/tests/newHosts.ts
+++ b/apps/host/tests/newHosts.ts
@@ -96,6 +96,7 @@
   domains: string[],
   program = PROGRAM,
   regions: Record<string, string> = {},
+  nodeFlags: string[] = [],
 ) => {
   const folder = await mkdtemp(join(tmpdir(), 'cyclamengate-hosts-'));
   const hosts: TestHost[] = [];
@@ -126,7 +127,7 @@
       },
     };
     await writeFile(path, stringify(settings));
-    const child = spawn(process.execPath, [program, '--settings', path], {
+    const child = spawn(process.execPath, [...nodeFlags, program, '--settings', path], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     saveLog(child, name);
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,6 +34,16 @@
     // A program's frame is where a process ends.
     rules: { 'n/no-process-exit': 'off' },
   },
+  {
+    files: ['apps/host/src/newHostScript.ts'],
+    // Nothing else runs yet, and asynchronous reads would start threads for it.
+    rules: { 'n/no-sync': 'off' },
+  },
+  {
+    files: ['scripts/writeCodeCache.js'],
+    // The host that it runs keeps the process from ending by itself.
+    rules: { 'n/no-process-exit': 'off' },
+  },
   {
     files: ['packages/routing/src/new*QueuePolicy.ts'],
     // p-queue wants a class for its queue, and the policy closes over the queue's state.
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,11 +1,18 @@
-/** Bundles the TypeScript sources of the host program into one file under target/. */
-import { mkdir } from 'node:fs/promises';
+/**
+ * Bundles the TypeScript sources of the host program under target/, and writes V8's code cache of it.
+ *
+ * `target/cyclamengate-host.cjs` is the file to run; it loads `target/host.cjs` with the cache.
+ */
+import { execFile } from 'node:child_process';
+import { mkdir, readFile, rm } from 'node:fs/promises';
 import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
 import { build } from 'esbuild';
 
 const root = fileURLToPath(new URL('..', import.meta.url));
 
 const PARTS_FOLDER = `${root}scripts`;
+const CACHE_TIMEOUT_MS = 60_000;
 
 /**
  * Parts of libraries that are bundled in place of the whole, since each host spends a good part of its
@@ -34,14 +41,18 @@
 ];
 const BUNDLED_PARTS = new RegExp(`^(${Object.keys(PARTS).join('|')})$`);
 
+const findFolder = (name) => {
+  if (name === 'adapter') return 'platform';
+  return name.startsWith('app-') ? `apps/${name.slice('app-'.length)}` : `packages/${name}`;
+};
+
 /** Resolves modules of workspace packages to their sources, so that no compiled output is needed. */
 const workspaces = {
   name: 'workspaces',
   setup({ onResolve, onLoad }) {
     onResolve({ filter: /^@cyclamengate\// }, ({ path }) => {
       const [, name, module] = path.split('/');
-      const folder = name === 'adapter' ? 'platform' : `packages/${name}`;
-      return { path: `${root}${folder}/src/${module}.ts` };
+      return { path: `${root}${findFolder(name)}/src/${module}.ts` };
     });
     onResolve({ filter: BUNDLED_PARTS }, ({ path, resolveDir }) =>
       resolveDir === PARTS_FOLDER ? null : { path, namespace: 'parts' },
@@ -57,20 +68,57 @@
   },
 };
 
-await mkdir(`${root}target`, { recursive: true });
-await build({
-  entryPoints: [`${root}apps/host/src/main.ts`],
-  outfile: `${root}target/cyclamengate-host.mjs`,
+const options = {
   bundle: true,
   platform: 'node',
-  format: 'esm',
   target: 'node20',
   minifySyntax: true,
   minifyWhitespace: true,
   legalComments: 'none',
   plugins: [workspaces],
-  // Some bundled libraries are CommonJS and load Node.js built-in modules with `require`.
-  banner: {
-    js: "import{createRequire as newRequire}from'node:module';const require=newRequire(import.meta.url);",
-  },
-});
+};
+
+/** The flags of Node.js with which the platform runs the program. */
+const readNodeFlags = async () => {
+  const system = await readFile(`${root}deploy/system.toml`, 'utf8');
+  const flags = /^run = "node (.*?) ?target\//m.exec(system)?.[1] ?? '';
+  return flags.split(' ').filter((flag) => flag !== '');
+};
+
+/** Without a cache a start costs more processor time, and is otherwise the same. */
+const writeCodeCache = async () => {
+  await rm(`${root}target/host.cache`, { force: true });
+  try {
+    const args = [...(await readNodeFlags()), `${root}target/write-code-cache.mjs`];
+    await promisify(execFile)(process.execPath, args, { timeout: CACHE_TIMEOUT_MS });
+  } catch (error) {
+    process.stderr.write(`bundle: no code cache: ${error.message}\n`);
+  }
+};
+
+await mkdir(`${root}target`, { recursive: true });
+await Promise.all([
+  build({
+    ...options,
+    entryPoints: [`${root}apps/host/src/main.ts`],
+    outfile: `${root}target/host.cjs`,
+    format: 'cjs',
+  }),
+  build({
+    ...options,
+    entryPoints: [`${root}apps/host/src/runCached.ts`],
+    outfile: `${root}target/cyclamengate-host.cjs`,
+    format: 'cjs',
+  }),
+  build({
+    ...options,
+    entryPoints: [`${root}scripts/writeCodeCache.js`],
+    outfile: `${root}target/write-code-cache.mjs`,
+    format: 'esm',
+    // Some bundled libraries are CommonJS and load Node.js built-in modules with `require`.
+    banner: {
+      js: "import{createRequire as newRequire}from'node:module';const require=newRequire(import.meta.url);",
+    },
+  }),
+]);
+await writeCodeCache();
