Heartbeats are read without their schema, and windows are looked for only under the lease

Every host looked for usage windows to close. Change: a check by hand that is as strict as the schema reads heartbeats; everything that it doesn't take goes to the schema. Old windows are discarded when a new one comes, not on each heartbeat. Hosts without the lease for usage look for no windows.

--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -13,6 +13,7 @@
 import newMembers from '@cyclamengate/hosts/newMembers';
 import type { Member } from '@cyclamengate/hosts/newMembers';
 import newOwnership from '@cyclamengate/hosts/newOwnership';
+import readHeartbeat from '@cyclamengate/hosts/readHeartbeat';
 import rankHosts from '@cyclamengate/hosts/rankHosts';
 import newUsageCounts from '@cyclamengate/hosts/newUsageCounts';
 import type { UsageMeter } from '@cyclamengate/hosts/newUsageMeter';
@@ -119,6 +120,7 @@
       log,
       topic: TOPIC,
       schema: coordinationRecordSchema,
+      readFrequent: readHeartbeat,
       apply: applyRecord,
     }),
     onCaughtUp: members.advanceView,
--- a/packages/hosts/src/newUsageCounts.ts
+++ b/packages/hosts/src/newUsageCounts.ts
@@ -21,13 +21,17 @@
   const closed = new Map<number, UsageCounts>();
   const reported = new Set<number>();
 
+  const addWindow = (window: number, incarnation: string, counts: UsageCounts): void => {
+    countsByWindow.set(window, new Map([[incarnation, counts]]));
+    evictOldWindows(countsByWindow);
+  };
+
   const applyHeartbeat = ({ incarnation, usage }: Heartbeat): void =>
     Object.entries(usage).forEach(([name, counts]) => {
       const window = Number(name);
-      const byIncarnation = countsByWindow.get(window) ?? new Map<string, UsageCounts>();
-      byIncarnation.set(incarnation, counts);
-      countsByWindow.set(window, byIncarnation);
-      evictOldWindows(countsByWindow);
+      const known = countsByWindow.get(window);
+      if (known) known.set(incarnation, counts);
+      else addWindow(window, incarnation, counts);
     });
 
   return {
--- a/packages/hosts/src/reportWindows.ts
+++ b/packages/hosts/src/reportWindows.ts
@@ -75,8 +75,9 @@
     findOpenWindows().find((window) => isComplete(window) || isGraceOver(window));
 
   const closeDueWindow = async (): Promise<void> => {
+    if (!lease.hold(0)) return;
     const window = findDueWindow();
-    if (window === undefined || !lease.hold(0)) return;
+    if (window === undefined) return;
     const counts = usage.sum(window);
     const record = { type: 'usage-close' as const, window, counts };
     const outcome = await write(record, clock.now() + WRITE_TIMEOUT_MS);
@@ -84,9 +85,9 @@
   };
 
   const reportNextWindow = async (): Promise<void> => {
-    const unreported = usage.oldestUnreported();
     const hold = lease.hold(SEND_TIMEOUT_MS);
-    if (!unreported || !hold) return;
+    const unreported = hold && usage.oldestUnreported();
+    if (!hold || !unreported) return;
     const report = { ...unreported, holder: host, fencingToken: hold.token };
     const outcome = await reports.send(report, AbortSignal.timeout(SEND_TIMEOUT_MS));
     log.info('usage.reported', { window: unreported.window, outcome, fencingToken: hold.token });
