A host short of processor time no longer takes the store for silent as a batch comes

Cause: the deadlines of storeBatch and newBatchWriter were plain timers. A process that could not run finds them expired and runs them before it reads what the store has answered. A batch that the store had acknowledged was refused with 504, and after half a second begun by a host as if the store were away.

--- a/packages/batches/src/storeBatch.ts
+++ b/packages/batches/src/storeBatch.ts
@@ -1,4 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
+import sleepUntilCaughtUp from '@cyclamengate/common/sleepUntilCaughtUp';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { Batch } from './batchRecord.js';
 import type { BatchWriter } from './newBatchWriter.js';
@@ -27,7 +28,9 @@
     if (changed.isLogged && changed.batch.id === batch.id) observed.abort('seen');
   });
   // An append that is sent during an outage can remain unanswered past its writer's deadline.
-  const timeout = clock.sleepUntil(deadline, observed.signal).then((): WriteOutcome => 'unknown');
+  const timeout = sleepUntilCaughtUp(clock, deadline, observed.signal).then(
+    (): WriteOutcome => 'unknown',
+  );
   const outcome = await Promise.race([write(batch, deadline), timeout]);
   stop();
   observed.abort('over');
--- a/packages/batches/tests/newBatchWriter.test.ts
+++ b/packages/batches/tests/newBatchWriter.test.ts
@@ -74,6 +74,35 @@
   t.is(memory.bodies('b').length, 1);
 });
 
+test("a host that could not run does not take its own delay for the store's", async (t) => {
+  // Guards against peers that are asked for, and hosts that begin, a batch that the store has
+  // acknowledged: its host was short of processor time and had not read the answer.
+  const clock = newManualClock();
+  const calls: string[] = [];
+  let acknowledge = (_outcome: WriteOutcome): void => {};
+  const { write } = newBatchWriter({
+    clock,
+    log: silentLog,
+    writeHere: () =>
+      new Promise((resolve) => {
+        acknowledge = resolve;
+      }),
+    askPeers: async () => {
+      calls.push('ask');
+      return 'unknown';
+    },
+    begin: async () => {
+      calls.push('begin');
+    },
+  });
+  const outcome = write(newBatch('b', [newItem('1')]), clock.now() + 900);
+  clock.jump(700);
+  await clock.advance(1);
+  acknowledge('written');
+  t.is(await outcome, 'written');
+  t.deepEqual(calls, []);
+});
+
 test('an end that no host could write is reported as not written', async (t) => {
   const { clock, faults, calls, writeEnd } = newFixture('not-written');
   faults.isRefusing = true;
--- a/packages/batches/tests/storeBatch.test.ts
+++ b/packages/batches/tests/storeBatch.test.ts
@@ -39,6 +39,23 @@
   t.is(await pending, 'unknown');
 });
 
+test('a host that could not run reads what the store answered before it refuses', async (t) => {
+  // Guards against an unknown outcome for a batch that the store has acknowledged: its host was
+  // suspended past the deadline, with the answer unread.
+  const clock = newManualClock();
+  const batches = newBatches({ clock, retentionMs: 120_000, parts: newPartialTexts(clock) });
+  let acknowledge = (_outcome: WriteOutcome): void => {};
+  const write = (): Promise<WriteOutcome> =>
+    new Promise((resolve) => {
+      acknowledge = resolve;
+    });
+  const pending = storeBatch({ clock, batches, write }, newBatch('b', []), clock.now() + 1_100);
+  clock.jump(1_300);
+  await clock.advance(1);
+  acknowledge('written');
+  t.is(await pending, 'written');
+});
+
 test('a caller is answered at the deadline even if the append is still unanswered', async (t) => {
   // A call to the store can hang until 1.2 s after it was sent, which may be long after the
   // deadline. The trainer has left by then, and its next attempt is the last one that could be in
