An upstream that is a third slower counts as slower, as it did before paces

Cause: within a factor of 1.4 paces counted as equal on both sides, so engines a third slower got as much as their peers; the choice by latency had counted every slower one. Change: the band ends at 1.2 on the slow side; heartbeats still tell of those from 1.4 on only. Result: a new test, which fails with the band before.

--- a/packages/engines/src/computeLastingPaces.ts
+++ b/packages/engines/src/computeLastingPaces.ts
@@ -11,8 +11,10 @@
 
 /** With fewer, a single late event would make the upstream look slow. */
 export const MIN_SAMPLES = 5;
-/** Within this factor upstreams count as equal: slots in use and noise alone make a fifth. */
-const EQUAL_FACTOR = 1.4;
+/** An upstream that is slower by no more counts as equal: slots in use alone make a fifth. */
+const MAX_EQUAL_SLOWNESS = 1.2;
+/** A fast upstream draws work from its peers, so it has to be clearly faster. */
+const MIN_FAST_FACTOR = 1.4;
 
 const positiveMedian = (values: number[]): number => median(values) || 1;
 
@@ -48,7 +50,7 @@
 
 /** A pace that differs too little from the peers' to decide anything is 1. */
 const ignoreSmall = (pace: number): number =>
-  pace > 1 / EQUAL_FACTOR && pace < EQUAL_FACTOR ? 1 : pace;
+  pace > 1 / MIN_FAST_FACTOR && pace <= MAX_EQUAL_SLOWNESS ? 1 : pace;
 
 /**
  * Paces of a service's upstreams relative to each other, as far as there are samples enough.
--- a/packages/engines/src/newPaces.ts
+++ b/packages/engines/src/newPaces.ts
@@ -16,6 +16,8 @@
 const MAX_SAMPLES = 15;
 /** A slow upstream that gets no requests is tried again after this time. */
 const RETRY_SLOW_MS = 8_000;
+/** Slower ones are shared; what is nearer to its peers would only make heartbeats grow. */
+const MIN_SHARED_SLOW_PACE = 1.4;
 /** Other hosts may rely on a slow pace for this long without new samples. */
 const SHARE_SLOW_MS = 30_000;
 /** Among fewer measured upstreams it can't be told which of them is unusual. */
@@ -168,7 +170,9 @@
       });
       if (known.length < MIN_PEERS_TO_SHARE) return [];
       return known.filter(
-        ([id, pace]) => pace < 1 || (pace > 1 && wasSampledWithin(service, id, SHARE_SLOW_MS)),
+        ([id, pace]) =>
+          pace < 1 ||
+          (pace >= MIN_SHARED_SLOW_PACE && wasSampledWithin(service, id, SHARE_SLOW_MS)),
       );
     });
 
--- a/packages/engines/tests/newPaces.test.ts
+++ b/packages/engines/tests/newPaces.test.ts
@@ -176,6 +176,14 @@
   t.deepEqual(paces.unusual(), {});
 });
 
+test('engines that are a third slower get less, and heartbeats do not grow by them', (t) => {
+  // Guards against the longest items of a step that start on such an engine while others are free.
+  const { paces, work } = newFixture();
+  work(20, { a: 35, b: 35, slower: 46 });
+  t.is(Number(paces.describe(newEntry('slower')).pace.toFixed(2)), 1.31);
+  t.deepEqual(paces.unusual(), {});
+});
+
 test('a host shares what it measured as unusual, and uses what others share of the rest', async (t) => {
   const { clock, paces, work, paceOf } = newFixture();
   work(8, { a: 64, b: 64, fast: 29 });
