A host that could not run no longer takes the streams of engines for silent

Cause: newIdleTimeout counted in time alone. After a stall its timer runs before the chunks that have arrived are read, so a suspended host would break off each stream that it reads and run the items again on other engines.

Change: it waits by sleepUntilCaughtUp, as calls to the store and to upstreams do.

Result: a test that jumps 3 s and delivers a chunk then fails on the code before; a stream that is still silent 50 ms later is broken off as before.

--- a/packages/engines/src/newIdleTimeout.ts
+++ b/packages/engines/src/newIdleTimeout.ts
@@ -1,4 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
+import sleepUntilCaughtUp from '@cyclamengate/common/sleepUntilCaughtUp';
 
 export interface IdleTimeoutOptions {
   clock: Clock;
@@ -18,7 +19,10 @@
   end: () => void;
 }
 
-/** Aborts the wait for the next chunk of a stream when it takes too long or the run has ended. */
+/**
+ * Aborts the wait for the next chunk of a stream when it takes too long or the run has ended. A delay
+ * of this process does not count: the chunks that have arrived meanwhile are read first.
+ */
 const newIdleTimeout = ({
   clock,
   signal,
@@ -35,7 +39,7 @@
       }
       // A chunk may bring the deadline forward, since the first one has the longer timeout.
       const wakeAt = Math.min(deadline, clock.now() + timeoutMs);
-      await clock.sleepUntil(wakeAt, controller.signal);
+      await sleepUntilCaughtUp(clock, wakeAt, controller.signal);
     }
   };
   watch();
