--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -1,12 +1,13 @@
 import newRecordReader from '@cyclamengate/batches/newRecordReader';
 import assertNever from '@cyclamengate/common/assertNever';
 import type Clock from '@cyclamengate/common/Clock';
-import { isInHomes } from '@cyclamengate/common/homes';
+import { describeHomes, isInHomes } from '@cyclamengate/common/homes';
 import type { Homes, Regions } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import { coordinationRecordSchema } from '@cyclamengate/hosts/coordinationRecord';
 import type { CoordinationRecord, Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
 import newHeartbeatOrder from '@cyclamengate/hosts/newHeartbeatOrder';
+import newHostRanking from '@cyclamengate/hosts/newHostRanking';
 import newLeaseKeeper from '@cyclamengate/hosts/newLeaseKeeper';
 import type { LeaseKeeper } from '@cyclamengate/hosts/newLeaseKeeper';
 import newLeases from '@cyclamengate/hosts/newLeases';
@@ -14,7 +15,6 @@
 import type { Member } from '@cyclamengate/hosts/newMembers';
 import newOwnership from '@cyclamengate/hosts/newOwnership';
 import readHeartbeat from '@cyclamengate/hosts/readHeartbeat';
-import rankHosts from '@cyclamengate/hosts/rankHosts';
 import newUsageCounts from '@cyclamengate/hosts/newUsageCounts';
 import type { UsageMeter } from '@cyclamengate/hosts/newUsageMeter';
 import newStoreWriter from '@cyclamengate/store/newStoreWriter';
@@ -173,26 +173,32 @@
     }
   };
 
+  const rankHosts = newHostRanking();
   const ranks = new Map<string, string[]>();
   let rankedMembers: Member[] = [];
 
-  /** Live hosts in order of preference for a subject; the order is the same on every host. */
-  const rank = (subject: string): string[] => {
+  /** Reads a ranking that was computed for the same live hosts, or computes it. */
+  const getOrComputeRanks = (key: string, compute: (live: Member[]) => string[]): string[] => {
     const live = members.live();
     if (live !== rankedMembers) ranks.clear();
     rankedMembers = live;
-    const cached = ranks.get(subject);
+    const cached = ranks.get(key);
     if (cached) return cached;
-    const ranked = rankHosts(subject, live);
-    ranks.set(subject, ranked);
+    const ranked = compute(live);
+    ranks.set(key, ranked);
     return ranked;
   };
 
+  /** Live hosts in order of preference for a subject; the order is the same on every host. */
+  const rank = (subject: string): string[] =>
+    getOrComputeRanks(subject, (live) => rankHosts(subject, live));
+
   const rankInHomes = (subject: string, homes: Homes): string[] => {
-    const ranked = rank(subject);
-    if (homes === null) return ranked;
-    const domains = new Map(members.live().map((member) => [member.host, member.failureDomain]));
-    return ranked.filter((name) => isInHomes(homes, domains.get(name) ?? '', regions));
+    if (homes === null) return rank(subject);
+    return getOrComputeRanks(`${subject}\n${describeHomes(homes)}`, (live) => {
+      const domains = new Map(live.map((member) => [member.host, member.failureDomain]));
+      return rank(subject).filter((name) => isInHomes(homes, domains.get(name) ?? '', regions));
+    });
   };
 
   /** This host's rank among the hosts that may claim a lease; null while it must not claim it. */
--- a/packages/hosts/src/rankHosts.ts
+++ b/packages/hosts/src/rankHosts.ts
@@ -1,4 +1,4 @@
-import rendezvousRank from '@cyclamengate/common/rendezvousRank';
+import rendezvousRank, { computeWeight } from '@cyclamengate/common/rendezvousRank';
 
 /** A host and its number of cores, which may be fractional. */
 export interface RankedHost {
@@ -17,13 +17,14 @@
  * streams on a third of a core is late although engines are free. So all strong hosts rank before
  * the weak ones.
  */
-const rankHosts = (subject: string, hosts: RankedHost[]): string[] => {
+const rankHosts = (subject: string, hosts: RankedHost[], findWeight = computeWeight): string[] => {
   const strongest = Math.max(0, ...hosts.map(({ cores }) => cores));
   const isStrong = ({ cores }: RankedHost): boolean => cores >= strongest * MIN_STRONG_CORES_RATIO;
   const rank = (list: RankedHost[]): string[] =>
     rendezvousRank(
       subject,
       list.map(({ host }) => host),
+      findWeight,
     );
   return [
     ...rank(hosts.filter(isStrong)),
--- a/packages/hosts/tests/rankHosts.test.ts
+++ b/packages/hosts/tests/rankHosts.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import newHostRanking from '../src/newHostRanking.js';
 import rankHosts from '../src/rankHosts.js';
 
 const strong = ['a', 'b', 'c'].map((host) => ({ host, cores: 1.35 }));
@@ -33,3 +34,14 @@
   });
   t.deepEqual(moved, []);
 });
+
+test('a ranking that keeps weights is the same as one that computes them', (t) => {
+  // Guards against hosts that disagree on owners because one of them has run for longer.
+  const rank = newHostRanking();
+  const hosts = [...strong, ...weak];
+  const manySubjects = Array.from({ length: 250 }, (_, index) => `batches/${index}`);
+  [...subjects, ...manySubjects, ...subjects].forEach((subject, index) => {
+    const live = hosts.filter((_, position) => (position + index) % 4 > 0);
+    t.deepEqual(rank(subject, live), rankHosts(subject, live));
+  });
+});
