Engines are assigned by demand, pace and failure domain

Cause: every model had the same number of engines whatever its trainer asked for, and hashing alone chose them: one model could have no fast engine, or most of its engines in one failure domain. Change: each model gets capacity in proportion to the work of its trainer's steps, its part of the fast engines and of each failure domain. Demand is a fold over the batches in the log, so every host computes the same. With equal demands and paces the number of engines is what it was; which engines changes once. Agreed paces are not wired yet: all count as 1.

--- a/apps/host/src/newDuties.ts
+++ b/apps/host/src/newDuties.ts
@@ -8,6 +8,7 @@
 import computeMaxConcurrentLoads from '@cyclamengate/engines/computeMaxConcurrentLoads';
 import findDueLoads from '@cyclamengate/engines/findDueLoads';
 import type { NewestVersion } from '@cyclamengate/engines/findDueLoads';
+import type { EngineAssigner } from '@cyclamengate/engines/newEngineAssigner';
 import type { DueLoad } from '@cyclamengate/engines/loadWeights';
 import type { Directory } from '@cyclamengate/engines/newDirectory';
 import type { Evacuations } from '@cyclamengate/engines/newEvacuations';
@@ -36,6 +37,8 @@
   newestVersion: (model: string) => NewestVersion;
   /** Number of versions by which an engine may lag and still serve a model's steps. */
   allowedLag: (model: string) => number;
+  /** Gives each model its engines, the same on every host. */
+  assignEngines: EngineAssigner;
   /** Number of unfinished items of open batches that a service runs. */
   openItems: (service: string) => number;
 }
@@ -45,6 +48,7 @@
   const { clock, log, host, failureDomain, address, connections, windowMs } = options;
   const { coordination, evacuations } = options;
   const { newLease, directory, readSettings, newestVersion, openItems, allowedLag } = options;
+  const { assignEngines } = options;
   const usageLease = newLease('usage', null);
   const enginesLease = newLease(`engines/${failureDomain}`, failureDomain);
 
@@ -69,6 +73,7 @@
           service.models.map(newestVersion),
           clock.now(),
           allowedLag,
+          assignEngines,
         ).map((due) => ({ ...due, mustWaitForRuns }));
       })
       .filter(({ entry }) => entry.failureDomain === failureDomain)
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -2,6 +2,7 @@
 import newSseReader from '@cyclamengate/adapter/newSseReader';
 import mayStartWork from '@cyclamengate/batches/mayStartWork';
 import newBatchWriter from '@cyclamengate/batches/newBatchWriter';
+import newDemands from '@cyclamengate/batches/newDemands';
 import type { BatchOwner } from '@cyclamengate/batches/batchRecord';
 import newBatchRunner from '@cyclamengate/batches/newBatchRunner';
 import newPartitionMonitor from '@cyclamengate/batches/newPartitionMonitor';
@@ -17,6 +18,7 @@
 import newTaskGroup from '@cyclamengate/common/newTaskGroup';
 import type { RunningProgram } from '@cyclamengate/common/startProgram';
 import newAllowedLags from '@cyclamengate/engines/newAllowedLags';
+import newEngineAssigner from '@cyclamengate/engines/newEngineAssigner';
 import newLoads from '@cyclamengate/engines/newLoads';
 import findHomes from '@cyclamengate/gateway/findHomes';
 import { pickService } from '@cyclamengate/gateway/findRoute';
@@ -154,7 +156,10 @@
     readIntervalFactor: coordination.readIntervalFactor,
   });
   const allowedLags = newAllowedLags();
-  batchStore.batches.onAccepted(({ model, leastVersion }) => {
+  const demands = newDemands();
+  batchStore.batches.onAccepted(({ batch, items }) => {
+    const { model, step, leastVersion } = batch;
+    demands.apply({ model, step, items: items.values() });
     if (model !== null) allowedLags.set(model, platform.newestVersion(model).version, leastVersion);
   });
   const partitionMonitor = newPartitionMonitor({
@@ -212,6 +217,8 @@
     readSettings: settingsView.read,
     newestVersion: platform.newestVersion,
     allowedLag: allowedLags.get,
+    // Until hosts agree on paces, all engines count as equally fast.
+    assignEngines: newEngineAssigner({ demandOf: demands.demandOf, paceOf: () => 1 }),
     openItems: (service) =>
       batchStore.batches
         .open()
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -36,7 +36,7 @@
   const states = new Map<string, BatchState>();
   const completed = new Map<string, { digest: string; result: ItemResult }>();
   const reportedExecutors = new Map<string, BatchExecutor & { at: number }>();
-  let onAccepted = (_batch: BatchState['batch']): void => {};
+  let onAccepted = (_state: BatchState): void => {};
   const listeners = new Set<(state: BatchState) => void>();
 
   const computeEvictionTime = ({ acceptedAt }: Batch | BatchHead): number => {
@@ -133,7 +133,7 @@
       if (!changed) return;
       if (record.type === 'batch' || record.type === 'batch-head') {
         evictExpired();
-        onAccepted(changed.batch);
+        onAccepted(changed);
       }
       [...listeners].forEach((listener) => listener(changed));
     },
@@ -219,8 +219,8 @@
       const progress = structuredClone(part.progress);
       return { digest: item.digest, progress, isComplete: part.isComplete, place: null };
     },
-    /** @param listener called once for each batch in the log */
-    onAccepted: (listener: (batch: BatchState['batch']) => void): void => {
+    /** @param listener called once for each batch in the log, in its order */
+    onAccepted: (listener: (state: BatchState) => void): void => {
       onAccepted = listener;
     },
     /** @returns a function that removes the listener */
--- a/packages/engines/src/findDueLoads.ts
+++ b/packages/engines/src/findDueLoads.ts
@@ -1,5 +1,6 @@
 import type { DueLoad } from './loadWeights.js';
-import assignEngines from './assignEngines.js';
+import newEngineAssigner from './newEngineAssigner.js';
+import type { EngineAssigner } from './newEngineAssigner.js';
 import { getLoadedVersion } from './upstreamEntry.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
@@ -12,6 +13,9 @@
 /** Fraction of a model's engines that load concurrently while the others keep serving. */
 const CONCURRENT_LOAD_FRACTION = 1 / 3;
 
+/** Assigns engines as if all demands and paces were equal. */
+const assignAlike = newEngineAssigner({ demandOf: () => 1, paceOf: () => 1 });
+
 /** A model's newest version as announced by its trainer. */
 export interface NewestVersion {
   model: string;
@@ -34,17 +38,19 @@
  * model's steps allow cannot serve any of them, so it loads at once.
  *
  * @param allowedLag versions by which an engine may be behind and still serve a model's steps
+ * @param assign gives each model its engines, the same on every host
  */
 const findDueLoads = (
   engines: UpstreamEntry[],
   newest: NewestVersion[],
   now: number,
   allowedLag: (model: string) => number,
+  assign: EngineAssigner = assignAlike,
 ): Omit<DueLoad, 'mustWaitForRuns'>[] => {
   const usable = engines.filter(({ isDraining }) => !isDraining);
-  const assignments = assignEngines(
+  const assignments = assign(
     newest.map(({ model }) => model),
-    usable.map(({ id }) => id),
+    usable,
   );
   return newest.flatMap(({ model, version, learnedAt }) => {
     const ids = [...(assignments.get(model) ?? [])];
--- a/packages/engines/tests/helpers.ts
+++ b/packages/engines/tests/helpers.ts
@@ -1,4 +1,6 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { ModelDemand } from '../src/apportionEngines.js';
+import type { AssignableEngine } from '../src/assignEngines.js';
 import type { UpstreamEntry } from '../src/upstreamEntry.js';
 
 export const silentLog: EventLog = { info: () => {}, warn: () => {}, error: () => {} };
@@ -17,3 +19,12 @@
   models: [],
   ...changes,
 });
+
+/** Models whose trainers ask for the same. */
+export const newEqualDemands = (models: string[]): ModelDemand[] =>
+  models.map((model) => ({ model, demand: 1 }));
+
+export const newEngine = (
+  id: string,
+  changes: Partial<AssignableEngine> = {},
+): AssignableEngine => ({ id, failureDomain: 'detroit', slots: 6, pace: 1, ...changes });
--- a/packages/engines/tests/placing.test.ts
+++ b/packages/engines/tests/placing.test.ts
@@ -7,7 +7,7 @@
 import newDirectory from '../src/newDirectory.js';
 import newHealth from '../src/newHealth.js';
 import assignEngines from '../src/assignEngines.js';
-import { newEntry, silentLog } from './helpers.js';
+import { newEngine, newEntry, newEqualDemands, silentLog } from './helpers.js';
 
 const candidate = (id: string, changes: Partial<Candidate> = {}): Candidate => ({
   entry: newEntry(id),
@@ -115,7 +115,10 @@
 test('every model has at least two engines, and models are spread evenly over engines', (t) => {
   const models = ['x', 'y', 'z'];
   const engines = ['a', 'b', 'c', 'd', 'e', 'f'];
-  const assignments = assignEngines(models, engines);
+  const assignments = assignEngines(
+    newEqualDemands(models),
+    engines.map((id) => newEngine(id)),
+  );
   models.forEach((model) => t.is(assignments.get(model)?.size, 2));
   const counts = engines.map(
     (engine) => models.filter((model) => assignments.get(model)?.has(engine)).length,
@@ -126,8 +129,13 @@
 test('the loss of an engine reassigns its models and few others', (t) => {
   const models = ['x', 'y', 'z'];
   const engines = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i'];
-  const before = assignEngines(models, engines);
-  const after = assignEngines(models, engines.slice(1));
+  const assign = (ids: string[]) =>
+    assignEngines(
+      newEqualDemands(models),
+      ids.map((id) => newEngine(id)),
+    );
+  const before = assign(engines);
+  const after = assign(engines.slice(1));
   const unchanged = models.flatMap((model) =>
     [...(after.get(model) ?? [])].filter((engine) => before.get(model)?.has(engine)),
   );
--- a/packages/engines/tests/weights.load.test.ts
+++ b/packages/engines/tests/weights.load.test.ts
@@ -9,7 +9,7 @@
 import { getLoadedVersion } from '../src/upstreamEntry.js';
 import WeightOrders from '../src/WeightOrders.js';
 import type { WeightOrder, WeightOrderOutcome } from '../src/WeightOrders.js';
-import { newEntry, silentLog } from './helpers.js';
+import { newEngine, newEntry, newEqualDemands, silentLog } from './helpers.js';
 
 const DOMAINS = ['detroit', 'cleveland', 'milwaukee'];
 const MODELS = ['w', 'x', 'y', 'z'];
@@ -108,10 +108,13 @@
     for (const announced of newest) {
       announced.version += 1;
       announced.learnedAt = clock.now();
-      const assigned = assignEngines(MODELS, fleet.ids).get(announced.model) ?? new Set<string>();
+      const assignable = fleet
+        .entries()
+        .map((entry) => newEngine(entry.id, { failureDomain: entry.failureDomain }));
+      const assigned = assignEngines(newEqualDemands(MODELS), assignable).get(announced.model);
       const usable = fleet
         .entries()
-        .filter(({ id }) => assigned.has(id))
+        .filter(({ id }) => assigned?.has(id))
         .filter((entry) => getLoadedVersion(entry, announced.model) >= announced.version - 1);
       if (step >= 3) fractions.push(Math.min(1, (usable.length * SLOTS) / STEP_ITEMS));
       await clock.advance(STEP_INTERVAL_MS / MODELS.length);
--- a/scripts/ablate.js
+++ b/scripts/ablate.js
@@ -58,9 +58,14 @@
     'REFUSAL_BACKOFF_MS = 0',
   ],
   homes: [
-    'packages/engines/src/assignEngines.ts',
-    'Math.floor(engines.length / models.length)',
-    'engines.length',
+    'packages/engines/src/newEngineAssigner.ts',
+    'const assignments = assignEngines(demands, engines);',
+    'const assignments = new Map(models.map((model) => [model, new Set(entries.map(({ id }) => id))]));',
+  ],
+  'engines by demand': [
+    'packages/engines/src/apportionEngines.ts',
+    'demand: isAlike ? 1 : demand',
+    'demand: 1',
   ],
   scaling: [
     'packages/engines/src/planScale.ts',
