--- a/scripts/ablate.js
+++ b/scripts/ablate.js
@@ -58,20 +58,35 @@
     'REFUSAL_BACKOFF_MS = 0',
   ],
   homes: [
-    'packages/engines/src/assignEngines.ts',
-    'Math.floor(engines.length / models.length)',
-    'engines.length',
+    'packages/engines/src/newEngineAssigner.ts',
+    'const assignments = assignEngines(demands, engines);',
+    'const assignments = new Map(models.map((model) => [model, new Set(entries.map(({ id }) => id))]));',
+  ],
+  'engines by demand': [
+    'packages/engines/src/apportionEngines.ts',
+    'demand: isAlike ? 1 : demand',
+    'demand: 1',
   ],
   scaling: [
     'packages/engines/src/planScale.ts',
     'Math.min(maxUpstreams, Math.max(minUpstreams, needed))',
     'Math.min(maxUpstreams, Math.max(minUpstreams, needed * 0))',
   ],
-  'longest first': [
+  'least time to spare first': [
     'packages/batches/src/planStarts.ts',
-    'right.expectedTokens - left.expectedTokens',
+    'left.startBy - right.startBy ||\n  right.expectedTokens - left.expectedTokens',
     '0',
   ],
+  'fast slots for long items': [
+    'packages/batches/src/planStarts.ts',
+    'if (free === 0) return { keys, held };',
+    'if (free >= 0) return { keys, held };',
+  ],
+  'moves to faster engines': [
+    'packages/batches/src/newBatchRunner.ts',
+    '    moveToFaster();\n',
+    '',
+  ],
   resting: [
     'packages/engines/src/newHealth.ts',
     'INITIAL_BACKOFF_MS = 300',
