--- a/packages/routing/src/QueuePolicy.ts
+++ b/packages/routing/src/QueuePolicy.ts
@@ -1,5 +1,5 @@
-import type { Priority } from '@cyclamengate/upstreams/generation';
 import type { Queue, QueueAddOptions } from 'p-queue';
+import type { ClassShares } from './classShares.js';
 import type { Ticket } from './ticket.js';
 
 /** Work as p-queue passes it to its queue. */
@@ -16,12 +16,20 @@
   run: QueuedTask;
 }
 
-/** Per-customer weights and limits that a policy depends on. */
-export interface CustomerRights {
+/** Weights and limits that a policy depends on. */
+export interface QueueRights {
+  classShares: ClassShares;
   /** A customer's weight relative to other customers. */
   getShare: (customer: string) => number;
-  /** Whether another of the customer's requests may start on this host now. */
-  mayStart: (customer: string) => boolean;
+  /** Whether a request may start on this host now. */
+  mayStart: (ticket: Ticket) => boolean;
+}
+
+/** How many requests of one customer and class are queued. */
+export interface QueuedCount {
+  priority: string;
+  customer: string;
+  count: number;
 }
 
 /** Decides the order in which p-queue starts queued requests. */
@@ -38,11 +46,17 @@
   /** Number of queued requests, including those over their customer's limit. */
   abstract countQueued(): number;
 
+  /** Number of queued requests of a class, of all customers. */
+  abstract countQueuedOf(priority: string): number;
+
   /** Number of requests queued ahead of a new one of this customer. */
   abstract countQueuedAhead(customer: string): number;
 
-  /** Fraction of the slots that this customer gets if the queued customers stay the same. */
-  abstract estimateSlotFraction(customer: string, priority: Priority): number;
+  /** Estimated number of starts before this one, if nothing more is queued. */
+  abstract countStartsAhead(ticket: Ticket): number;
+
+  /** Queued requests by class and customer. */
+  abstract listQueued(): QueuedCount[];
 }
 
 /** Returns the ticket of a task. */
--- a/packages/routing/src/newFairQueuePolicy.ts
+++ b/packages/routing/src/newFairQueuePolicy.ts
@@ -1,25 +1,32 @@
 import type { Queue } from 'p-queue';
-import type { Priority } from '@cyclamengate/upstreams/generation';
 import { QueuePolicy, requireTicket } from './QueuePolicy.js';
-import type { CustomerRights, QueuedTask, TicketOptions, QueuedRequest } from './QueuePolicy.js';
-import { PRIORITIES } from './refusal.js';
+import type {
+  QueuedCount,
+  QueuedRequest,
+  QueuedTask,
+  QueueRights,
+  TicketOptions,
+} from './QueuePolicy.js';
 import type { Ticket } from './ticket.js';
 
-/** Relative shares of service that the priorities get while requests of each are queued. */
-const PRIORITY_SHARES: Readonly<Record<Priority, number>> = {
-  interactive: 16,
-  background: 2,
-  training: 4,
-};
-
-/** A customer's queued requests; cancelled ones stay in the list until they are dequeued. */
+/**
+ * Queued requests of one customer that compete for the same places; cancelled ones stay in the list
+ * until they are dequeued.
+ */
 interface CustomerQueue {
+  customer: string;
   requests: QueuedRequest[];
   /** Number of requests that are not cancelled. */
   activeCount: number;
 }
 
-/** Usage per competitor (a priority or a customer), in tokens divided by its share. */
+/** A request that may start now, with the queue that it waits in. */
+interface Head {
+  queue: CustomerQueue;
+  ticket: Ticket;
+}
+
+/** Usage per competitor (a class or a customer), in units of cost divided by its share. */
 const newUsageCounters = () => {
   const used = new Map<string, number>();
   return {
@@ -36,100 +43,118 @@
   };
 };
 
+const orderOf = ({ order = 0 }: Ticket): number => order;
+
+const queueName = ({ customer, pool = '' }: Ticket): string => `${customer}\n${pool}`;
+
+const customerCounterName = (priority: string, customer: string): string =>
+  `${priority} ${customer}`;
+
+/** Inserts a request behind those that go before it; nearly always at the end. */
+const insertInOrder = (requests: QueuedRequest[], request: QueuedRequest): void => {
+  const order = orderOf(request.ticket);
+  const before = requests.findLastIndex(({ ticket }) => orderOf(ticket) <= order);
+  requests.splice(before + 1, 0, request);
+};
+
 /**
- * Weighted fair queueing over priorities and customers.
+ * Weighted fair queueing over classes of work and customers.
  *
  * With a first-in-first-out queue, one customer's burst delays all other customers. Here each
- * customer has a counter of the tokens that it has used, divided by its share, and the customer
- * with the lowest counter is next; priorities are chosen the same way. A request is charged its
- * estimated cost when it starts and the difference once its actual cost is known.
+ * customer has a counter of what it has used, divided by its share, and the customer with the lowest
+ * counter is next; classes are chosen the same way. A request is charged its estimated cost when it
+ * starts and the difference once its actual cost is known.
  */
-const newFairQueuePolicy = ({ getShare, mayStart }: CustomerRights): QueuePolicy => {
-  const queues = new Map<Priority, Map<string, CustomerQueue>>(
-    PRIORITIES.map((priority) => [priority, new Map<string, CustomerQueue>()]),
-  );
-  const priorityCounters = newUsageCounters();
+const newFairQueuePolicy = ({ classShares, getShare, mayStart }: QueueRights): QueuePolicy => {
+  const classes = Object.keys(classShares);
+  const queues = new Map(classes.map((name) => [name, new Map<string, CustomerQueue>()]));
+  const queuedByClass = new Map<string, number>();
+  const classCounters = newUsageCounters();
   const customerCounters = newUsageCounters();
   let queuedTotal = 0;
 
-  const getQueues = (priority: Priority): Map<string, CustomerQueue> =>
-    queues.get(priority) as Map<string, CustomerQueue>;
+  const getQueues = (priority: string): Map<string, CustomerQueue> => {
+    const found = queues.get(priority);
+    if (!found) throw new Error(`invariant broken: no class ${priority}`);
+    return found;
+  };
+
+  const getClassShare = (priority: string): number => classShares[priority] ?? 1;
 
-  const findQueuedPriorities = (): Priority[] =>
-    PRIORITIES.filter((priority) => getQueues(priority).size > 0);
+  const findQueuedClasses = (): string[] => classes.filter((name) => getQueues(name).size > 0);
 
-  const customerCounterName = (priority: Priority, customer: string): string =>
-    `${priority} ${customer}`;
+  const charge = ({ priority, customer }: Ticket, cost: number): void => {
+    classCounters.charge(priority, cost / getClassShare(priority));
+    customerCounters.charge(customerCounterName(priority, customer), cost / getShare(customer));
+  };
 
-  const charge = ({ priority, customer }: Ticket, tokens: number): void => {
-    priorityCounters.charge(priority, tokens / PRIORITY_SHARES[priority]);
-    customerCounters.charge(customerCounterName(priority, customer), tokens / getShare(customer));
+  const adjustQueued = (priority: string, change: number): void => {
+    queuedTotal += change;
+    queuedByClass.set(priority, (queuedByClass.get(priority) ?? 0) + change);
   };
 
-  /** Removes a request from the counts, and its customer if it was the customer's last one. */
-  const removeQueued = ({ priority, customer }: Ticket): void => {
-    const queue = getQueues(priority).get(customer);
+  /** Removes a request from the counts, and its queue if it was the last one in it. */
+  const removeQueued = (ticket: Ticket): void => {
+    const queue = getQueues(ticket.priority).get(queueName(ticket));
     if (!queue) return;
-    queuedTotal -= 1;
+    adjustQueued(ticket.priority, -1);
     queue.activeCount -= 1;
-    if (queue.activeCount === 0) getQueues(priority).delete(customer);
+    if (queue.activeCount === 0) getQueues(ticket.priority).delete(queueName(ticket));
   };
 
-  const countEligible = (priority: Priority): number =>
-    [...getQueues(priority)].reduce(
-      (sum, [customer, { activeCount }]) => sum + (mayStart(customer) ? activeCount : 0),
-      0,
-    );
-
-  /** Removes and returns a customer's oldest request that is not cancelled. */
-  const shiftActive = ({ requests }: CustomerQueue): QueuedRequest | undefined => {
-    let taken = requests.shift();
-    while (taken?.ticket.isCancelled) taken = requests.shift();
-    return taken;
+  /** The first request of a queue that is not cancelled. */
+  const findHead = (queue: CustomerQueue): Head | null => {
+    while (queue.requests[0]?.ticket.isCancelled) queue.requests.shift();
+    const [first] = queue.requests;
+    return first ? { queue, ticket: first.ticket } : null;
   };
 
-  const dequeueFrom = (priority: Priority): QueuedRequest | undefined => {
-    const customers = getQueues(priority);
-    const [next] = [...customers.keys()]
-      .filter(mayStart)
-      .sort(
-        (left, right) =>
-          customerCounters.get(customerCounterName(priority, left)) -
-          customerCounters.get(customerCounterName(priority, right)),
-      );
-    const queue = next === undefined ? undefined : customers.get(next);
-    return queue && shiftActive(queue);
+  const findStartable = (priority: string): Head[] =>
+    [...getQueues(priority).values()].flatMap((queue) => {
+      const head = findHead(queue);
+      return head && mayStart(head.ticket) ? [head] : [];
+    });
+
+  const compareHeads = ({ ticket: left }: Head, { ticket: right }: Head): number =>
+    orderOf(left) - orderOf(right) ||
+    customerCounters.get(customerCounterName(left.priority, left.customer)) -
+      customerCounters.get(customerCounterName(right.priority, right.customer));
+
+  const dequeueFrom = (priority: string): QueuedRequest | undefined => {
+    const [next] = findStartable(priority).sort(compareHeads);
+    return next?.queue.requests.shift();
   };
 
   const dequeueNext = (): QueuedRequest | undefined => {
-    const priorities = findQueuedPriorities().sort(
-      (left, right) => priorityCounters.get(left) - priorityCounters.get(right),
+    const queuedClasses = findQueuedClasses().sort(
+      (left, right) => classCounters.get(left) - classCounters.get(right),
     );
-    return priorities.reduce<QueuedRequest | undefined>(
+    return queuedClasses.reduce<QueuedRequest | undefined>(
       (taken, priority) => taken ?? dequeueFrom(priority),
       undefined,
     );
   };
 
-  /** Raises the counters of a customer and priority that had no queued requests. */
+  /** Raises the counters of a customer and class that had no queued requests. */
   const raiseCounters = ({ priority, customer }: Ticket): void => {
-    const customers = getQueues(priority);
-    if (customers.size === 0) priorityCounters.raiseToMinimum(priority, findQueuedPriorities());
-    const names = [...customers.keys()].map((queued) => customerCounterName(priority, queued));
+    const customers = [...getQueues(priority).values()];
+    if (customers.length === 0) classCounters.raiseToMinimum(priority, findQueuedClasses());
+    const names = customers.map((queued) => customerCounterName(priority, queued.customer));
     customerCounters.raiseToMinimum(customerCounterName(priority, customer), names);
   };
 
   class FairQueue implements Queue<QueuedTask, TicketOptions> {
     enqueue(run: QueuedTask, options?: Partial<TicketOptions>): void {
       const ticket = requireTicket(options);
-      const customers = getQueues(ticket.priority);
-      const known = customers.get(ticket.customer);
+      const { customer, priority } = ticket;
+      const classQueues = getQueues(priority);
+      const known = classQueues.get(queueName(ticket));
       if (!known) raiseCounters(ticket);
-      const queue = known ?? { requests: [], activeCount: 0 };
-      customers.set(ticket.customer, queue);
-      queue.requests.push({ ticket, run });
+      const queue = known ?? { customer, requests: [], activeCount: 0 };
+      classQueues.set(queueName(ticket), queue);
+      insertInOrder(queue.requests, { ticket, run });
       queue.activeCount += 1;
-      queuedTotal += 1;
+      adjustQueued(priority, 1);
     }
 
     dequeue(): QueuedTask | undefined {
@@ -141,30 +166,43 @@
     }
 
     filter(): QueuedTask[] {
-      return PRIORITIES.flatMap((priority) =>
+      return classes.flatMap((priority) =>
         [...getQueues(priority).values()].flatMap(({ requests }) => requests.map(({ run }) => run)),
       );
     }
 
     setPriority(): void {
-      throw new Error("invariant broken: a queued ticket's priority is fixed");
+      throw new Error("invariant broken: a queued ticket's class is fixed");
     }
 
     /**
      * Counts only requests that may start now, since p-queue dequeues whenever the size is not
-     * zero. Requests over their customer's limit are checked again when a request ends or the queue
-     * starts.
+     * zero. Requests that may not are checked again when a request ends or the queue is refreshed.
      */
     get size(): number {
-      return PRIORITIES.reduce((sum, priority) => sum + countEligible(priority), 0);
+      if (queuedTotal === 0) return 0;
+      return classes.reduce(
+        (sum, priority) =>
+          findStartable(priority).reduce((count, { queue }) => count + queue.activeCount, sum),
+        0,
+      );
     }
   }
 
+  const listQueued = (): QueuedCount[] =>
+    classes.flatMap((priority) =>
+      [...getQueues(priority).values()].map(({ customer, activeCount }) => ({
+        priority,
+        customer,
+        count: activeCount,
+      })),
+    );
+
   class FairQueuePolicy extends QueuePolicy {
     readonly queueClass = FairQueue;
 
-    charge(ticket: Ticket, tokens: number): void {
-      charge(ticket, tokens);
+    charge(ticket: Ticket, cost: number): void {
+      charge(ticket, cost);
     }
 
     cancel(ticket: Ticket): void {
@@ -177,17 +215,35 @@
       return queuedTotal;
     }
 
+    countQueuedOf(priority: string): number {
+      return queuedByClass.get(priority) ?? 0;
+    }
+
     countQueuedAhead(customer: string): number {
-      return PRIORITIES.reduce(
-        (sum, priority) => sum + (getQueues(priority).get(customer)?.activeCount ?? 0),
+      return listQueued().reduce(
+        (sum, queued) => sum + (queued.customer === customer ? queued.count : 0),
         0,
       );
     }
 
-    estimateSlotFraction(customer: string, priority: Priority): number {
-      const competitors = new Set([...getQueues(priority).keys(), customer]);
-      const totalShares = [...competitors].reduce((sum, name) => sum + getShare(name), 0);
-      return getShare(customer) / totalShares;
+    /** While a customer gets to this request, others get as much as their shares or their queues allow. */
+    countStartsAhead({ customer, priority }: Ticket): number {
+      const queued = listQueued().filter((one) => one.priority === priority);
+      const own = queued
+        .filter((one) => one.customer === customer)
+        .reduce((sum, { count }) => sum + count, 0);
+      return queued
+        .filter((one) => one.customer !== customer)
+        .reduce(
+          (sum, other) =>
+            sum +
+            Math.min(other.count, ((own + 1) * getShare(other.customer)) / getShare(customer)),
+          own,
+        );
+    }
+
+    listQueued(): QueuedCount[] {
+      return listQueued();
     }
   }
   return new FairQueuePolicy();
--- a/packages/routing/src/newFifoQueuePolicy.ts
+++ b/packages/routing/src/newFifoQueuePolicy.ts
@@ -1,15 +1,21 @@
 import type { Queue } from 'p-queue';
 import { QueuePolicy, requireTicket } from './QueuePolicy.js';
 import type { Ticket } from './ticket.js';
-import type { CustomerRights, QueuedTask, TicketOptions, QueuedRequest } from './QueuePolicy.js';
+import type {
+  QueuedCount,
+  QueuedRequest,
+  QueuedTask,
+  QueueRights,
+  TicketOptions,
+} from './QueuePolicy.js';
 
 /** First in, first out over all customers; the baseline for comparison with fair queueing. */
-const newFifoQueuePolicy = ({ mayStart }: Pick<CustomerRights, 'mayStart'>): QueuePolicy => {
+const newFifoQueuePolicy = ({ mayStart }: Pick<QueueRights, 'mayStart'>): QueuePolicy => {
   let queue: QueuedRequest[] = [];
 
   const eligible = (): QueuedRequest[] => {
     queue = queue.filter(({ ticket }) => !ticket.isCancelled);
-    return queue.filter(({ ticket }) => mayStart(ticket.customer));
+    return queue.filter(({ ticket }) => mayStart(ticket));
   };
 
   class FifoQueue implements Queue<QueuedTask, TicketOptions> {
@@ -49,12 +55,20 @@
       return queue.length;
     }
 
+    countQueuedOf(priority: string): number {
+      return queue.filter(({ ticket }) => ticket.priority === priority).length;
+    }
+
     countQueuedAhead(): number {
       return queue.length;
     }
 
-    estimateSlotFraction(): number {
-      return 1;
+    countStartsAhead(): number {
+      return queue.length;
+    }
+
+    listQueued(): QueuedCount[] {
+      return queue.map(({ ticket: { priority, customer } }) => ({ priority, customer, count: 1 }));
     }
   }
   return new FifoQueuePolicy();
--- a/packages/routing/src/refusal.ts
+++ b/packages/routing/src/refusal.ts
@@ -1,5 +1,3 @@
-import type { Priority } from '@cyclamengate/upstreams/generation';
-
 /** What is known about a request that got no complete answer. */
 export type RequestOutcome = 'not-run' | 'unknown' | 'partial';
 
@@ -68,6 +66,3 @@
   message: string,
   retryAt: number | null = null,
 ): Refusal => ({ code, outcome: 'not-run', message, retryAt });
-
-/** The priorities; in fair queueing, ties are resolved in this order. */
-export const PRIORITIES: readonly Priority[] = ['interactive', 'background', 'training'];
