Plain requests and scoring calls pass an admission on the platform form

Cause: a caller's request and each scoring call went at once to the best upstream and waited in that upstream's queue; a batch's scoring calls stood before callers' lookups, and one customer's burst took all places. Change: each host has an admission a service, by the loads that it knows. A caller's request starts at once while a place is free; while none is, each host uses its share of the places by demand (now in heartbeats). Scoring calls leave a reserve at each upstream. Settings: shares of a host, share of a customer. Refusals by the expected wait, with return times one after the other.

--- a/apps/host/src/hostSettings.ts
+++ b/apps/host/src/hostSettings.ts
@@ -33,6 +33,17 @@
     /** How long a batch can be read after it was accepted. */
     batchLifeSeconds: z.number().min(1),
   }),
+  /** How the places of plain services are divided while they are scarce. */
+  shares: z
+    .strictObject({
+      /** Fraction of the places kept free of background work and of customers over their share. */
+      reservedPart: z.number().min(0).max(0.5).default(0.25),
+      /** Fraction of the places that background work gets however many callers there are. */
+      floorPart: z.number().min(0).max(0.5).default(0.05),
+      /** Maximum number of a customer's waiting requests at one service on one host. */
+      maxWaiting: z.int().min(1).max(100_000).default(512),
+    })
+    .prefault({}),
 });
 
 export type HostSettings = z.infer<typeof hostSettingsSchema>;
--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -12,11 +12,13 @@
 import findHomes from '@cyclamengate/gateway/findHomes';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import type { RelayedRequest } from '@cyclamengate/gateway/newPlainAttempt';
-import type { PlainRelay, RelayOutcome } from '@cyclamengate/gateway/newPlainRelay';
+import type { AdmittedRelay } from '@cyclamengate/gateway/newAdmittedRelay';
+import type { RelayOutcome } from '@cyclamengate/gateway/newPlainRelay';
 import type { StreamRelay } from '@cyclamengate/gateway/newStreamRelay';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
 import { notRun, rejected } from '@cyclamengate/gateway/refusal';
 import type { Refusal } from '@cyclamengate/gateway/refusal';
+import { findCallerClass } from '@cyclamengate/gateway/workClasses';
 import type { UsageMeter } from '@cyclamengate/hosts/newUsageMeter';
 import type { BatchHandlers } from './newBatchHandlers.js';
 
@@ -29,7 +31,7 @@
   log: EventLog;
   metrics: Metrics;
   meter: UsageMeter;
-  relay: PlainRelay;
+  relay: AdmittedRelay;
   relayStream: StreamRelay;
   batches: BatchHandlers;
   readSettings: () => EffectiveSettings | null;
@@ -111,11 +113,12 @@
       maxUpstreams: route.maxUpstreams,
       deadline: computeDeadline(route, request, arrivedAt),
     };
+    const customerPriority = effective.customersByName.get(customer ?? '')?.priority ?? null;
     const controller = newCallerAbortController(response);
     const startedAt = clock.wallTime();
     const outcome = route.isStream
       ? await relayStream(relayed, response, controller.signal)
-      : await relay(relayed, controller.signal);
+      : await relay(relayed, findCallerClass(customerPriority, route.priority), controller.signal);
     const hasRun = outcome.type === 'answer' || outcome.hasRun;
     if (hasRun && customer !== null) meter.count(customer, startedAt);
     if (!response.headersSent) sendAnswer(response, outcome, request);
--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -65,6 +65,7 @@
   const { clock, log, store, host, incarnation, failureDomain, address, cores, leaseMs } = options;
   const { meter, regions, readRunningCounts, isLeaving } = options;
   let memberCount = 1;
+  let readDemand = (): Record<string, number> => ({});
 
   const heartbeatIntervalMs = (): number =>
     Math.max(MIN_HEARTBEAT_INTERVAL_MS, memberCount * HEARTBEAT_INTERVAL_MS_PER_HOST);
@@ -143,6 +144,7 @@
       cores,
       isLeaving: isLeaving(),
       running: readRunningCounts(),
+      demand: readDemand(),
       usage: meter.unreportedWindows(usage.isClosed),
       countedThrough: meter.currentWindow() - 1,
     };
@@ -225,6 +227,10 @@
     newLease,
     readIntervalFactor,
     nextHeartbeat,
+    /** @param read returns this host's running and waiting requests, by service */
+    announceDemand: (read: () => Record<string, number>): void => {
+      readDemand = read;
+    },
     writeHeartbeat,
     owns: newOwnership({ clock, host, rank: rankInHomes, isFresh }),
     runningElsewhere: members.runningElsewhere,
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -91,7 +91,9 @@
     settingsView,
     loads,
     readHostLoads: coordination.members.hostLoads,
+    readOtherDemand: coordination.members.demandElsewhere,
   });
+  coordination.announceDemand(upstreams.admissions.demand);
   const { directory, evacuations, health, connections, crashHistory, client, candidates } =
     upstreams;
   const homesOf = ({ route, customer }: BatchOwner): Homes => {
@@ -172,7 +174,13 @@
     candidates,
     health,
     loads,
-    scorer: newItemScorer({ clock, log, relay: upstreams.relay, readSettings: settingsView.read }),
+    scorer: newItemScorer({
+      clock,
+      log,
+      relay: upstreams.relay,
+      admit: upstreams.admissions.run,
+      readSettings: settingsView.read,
+    }),
     readSettings: settingsView.read,
     isOwner: (subject, homes) => !isLeaving && coordination.owns(`batches/${subject}`, homes),
     homesOf,
@@ -240,7 +248,7 @@
     log,
     metrics,
     meter,
-    relay: upstreams.relay,
+    relay: upstreams.relayAdmitted,
     relayStream: upstreams.relayStream,
     batches: batchHandlers,
     readSettings: settingsView.read,
--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -15,10 +15,13 @@
 import soleTrials from '@cyclamengate/engines/soleTrials';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import newCandidates from '@cyclamengate/gateway/newCandidates';
+import newAdmittedRelay from '@cyclamengate/gateway/newAdmittedRelay';
+import newPlaceReader from '@cyclamengate/gateway/newPlaceReader';
+import newPlainAdmissions from '@cyclamengate/gateway/newPlainAdmissions';
 import newPlainRelay from '@cyclamengate/gateway/newPlainRelay';
 import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
 import newStreamRelay from '@cyclamengate/gateway/newStreamRelay';
-import type { HostLoad } from '@cyclamengate/hosts/newMembers';
+import type { Demand, HostLoad } from '@cyclamengate/hosts/newMembers';
 import newConnections from '@cyclamengate/upstreams/newConnections';
 import type { HostSettings } from './hostSettings.js';
 
@@ -26,17 +29,19 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
-  settings: Pick<HostSettings, 'host' | 'failureDomain' | 'regions'>;
+  settings: Pick<HostSettings, 'host' | 'failureDomain' | 'regions' | 'shares'>;
   settingsView: SettingsView;
   loads: Loads;
   /** All hosts that may send requests, in the same order on every host. */
   readHostLoads: () => HostLoad[];
+  /** What each other host runs or has waiting. */
+  readOtherDemand: () => readonly Demand[];
 }
 
 /** What this host knows of the upstreams, and how it sends requests to them. */
 const newUpstreamAccess = (options: UpstreamAccessOptions) => {
   const { clock, log, metrics, settings, settingsView, loads, readHostLoads } = options;
-  const { host, failureDomain, regions } = settings;
+  const { host, failureDomain, regions, shares } = settings;
   const directory = newDirectory(clock, log);
   const evacuations = newEvacuations({ clock, log });
   const health = newHealth(clock, log);
@@ -76,11 +81,31 @@
     failureDomain,
     isConnected: (entry) => client.isConnected(entry),
   });
+  const placeReader = newPlaceReader({
+    clock,
+    regions,
+    directory,
+    evacuations,
+    coldLimits,
+    health,
+    loads,
+    reservedPart: shares.reservedPart,
+  });
+  const admissions = newPlainAdmissions({
+    clock,
+    log,
+    metrics,
+    shares,
+    reader: placeReader,
+    readOtherDemand: options.readOtherDemand,
+    readSettings: settingsView.read,
+  });
   const relayParts = { clock, log, client, candidates, health, loads };
   directory.onRemoved((entry) => {
     client.closeConnections(entry);
     health.remove(entry.id);
     coldLimits.remove(entry);
+    placeReader.remove(entry.id);
   });
 
   const countCold = (): number => directory.entries().filter(coldLimits.isCold).length;
@@ -88,6 +113,8 @@
   metrics.gauge('domains_evacuated', () => evacuations.list().length);
   metrics.gauge('upstreams_cold', countCold);
 
+  const relay = newPlainRelay(relayParts);
+
   return {
     directory,
     evacuations,
@@ -100,7 +127,9 @@
     shareTrials: (shared: Trials): void => {
       trials = shared;
     },
-    relay: newPlainRelay(relayParts),
+    admissions,
+    relay,
+    relayAdmitted: newAdmittedRelay(admissions, relay),
     relayStream: newStreamRelay(relayParts),
     /** Whether any upstream of a service in some regions takes requests. */
     hasUpstream: (service: string, homes: Homes): boolean =>
--- a/packages/batches/src/newItemFinisher.ts
+++ b/packages/batches/src/newItemFinisher.ts
@@ -85,9 +85,8 @@
     const { signal } = task.controller;
     const { scoring } = task.item;
     const storing = storeText(task);
-    const { customer } = task.state.batch;
     const outcome = scoring
-      ? await scorer(scoring, customer, () => mayWork(task.state), signal)
+      ? await scorer(scoring, task.state.batch, () => mayWork(task.state), signal)
       : null;
     await storing;
     if (outcome?.type === 'ended' || signal.aborted) return;
--- a/packages/batches/src/newItemScorer.ts
+++ b/packages/batches/src/newItemScorer.ts
@@ -3,9 +3,11 @@
 import { findRoute, pickService } from '@cyclamengate/gateway/findRoute';
 import type { Refusal } from '@cyclamengate/gateway/refusal';
 import type { PlainRelay } from '@cyclamengate/gateway/newPlainRelay';
+import type { PlainAdmissions } from '@cyclamengate/gateway/newPlainAdmissions';
+import { BACKGROUND } from '@cyclamengate/gateway/workClasses';
 import findHomes from '@cyclamengate/gateway/findHomes';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
-import type { Item } from './batchRecord.js';
+import type { Batch, Item } from './batchRecord.js';
 
 /** Time limit of one call; scoring takes 45 ms, at most 220 ms. */
 const CALL_TIMEOUT_MS = 1_500;
@@ -25,10 +27,14 @@
   | { type: 'failed' }
   | { type: 'ended' };
 
+/** The batch that an item belongs to. */
+export type ScoredBatch = Pick<Batch, 'customer' | 'acceptedAt'>;
+
 export interface ItemScorerOptions {
   clock: Clock;
   log: EventLog;
   relay: PlainRelay;
+  admit: PlainAdmissions['run'];
   readSettings: () => EffectiveSettings | null;
 }
 
@@ -37,17 +43,21 @@
   code === 'deadly-request' ? (retryAfterMs ?? 0) : 0;
 
 /** Requests an item's score: the signature of the scoring service's response. */
-const newItemScorer = ({ clock, log, relay, readSettings }: ItemScorerOptions) => {
+const newItemScorer = ({ clock, log, relay, admit, readSettings }: ItemScorerOptions) => {
+  /** Calls the service once there is a place for it; null if it is no longer wanted then. */
   const call = async (
     scoring: NonNullable<Item['scoring']>,
-    customer: string | null,
+    { customer, acceptedAt }: ScoredBatch,
+    mayCall: () => boolean,
     signal: AbortSignal,
   ) => {
     const effective = readSettings();
     const route = effective && findRoute(effective, scoring.hostName, scoring.path);
     const service = route && pickService(route, 0);
     if (!route || !service) return null;
-    const request = {
+    const homes = findHomes(effective, route, customer);
+    const newRequest = (crowded: ReadonlySet<string>) => ({
+      crowded,
       requestId: scoring.id,
       method: 'POST',
       path: scoring.path,
@@ -57,28 +67,41 @@
       customer: null,
       lastEventId: null,
       service,
-      homes: findHomes(effective, route, customer),
+      homes,
       isIdempotent: true,
       maxUpstreams: MAX_UPSTREAMS_PER_CALL,
       deadline: clock.now() + CALL_TIMEOUT_MS,
       minHedgeDelayMs: HEDGE_AFTER_MS,
-    };
-    return { route, outcome: await relay(request, signal) };
+    });
+    const work = {
+      requestId: scoring.id,
+      service,
+      homes,
+      customer,
+      workClass: BACKGROUND,
+      // Its batch decides how long it is wanted; the call's own time begins when it starts.
+      deadline: Number.POSITIVE_INFINITY,
+      order: acceptedAt,
+    } as const;
+    const start = async (crowded: ReadonlySet<string>) =>
+      mayCall() ? relay(newRequest(crowded), signal) : null;
+    const admitted = await admit(work, start, signal);
+    return admitted.ok && admitted.val ? { route, outcome: admitted.val } : null;
   };
 
   /**
-   * @param customer whose item is scored; the call carries no customer, but keeps to its homes
+   * @param batch whose item is scored; the call carries no customer, but keeps to its homes
    * @param mayCall whether the item's batch is known to be still wanted
    */
   return async (
     scoring: NonNullable<Item['scoring']>,
-    customer: string | null,
+    batch: ScoredBatch,
     mayCall: () => boolean,
     signal: AbortSignal,
   ): Promise<ScoreOutcome> => {
     let failures = 0;
     for (let calls = 0; !signal.aborted; calls += 1) {
-      const called = mayCall() ? await call(scoring, customer, signal) : null;
+      const called = mayCall() ? await call(scoring, batch, mayCall, signal) : null;
       if (called?.outcome.type === 'answer') {
         const { answer } = called.outcome;
         if (answer.status < 300 && answer.signature) {
--- a/packages/engines/src/newLoads.ts
+++ b/packages/engines/src/newLoads.ts
@@ -42,6 +42,11 @@
     },
     countLocal,
     countAllLocal: (): Record<string, number> => Object.fromEntries(localCounts),
+    /** Age of the upstream's newest load report; null if there is none or it is stale. */
+    reportAgeMs: (id: string): number | null => {
+      const deadline = reports.get(id)?.deadline ?? -Infinity;
+      return deadline < clock.now() ? null : clock.now() - (deadline - REPORT_TTL_MS);
+    },
     /** Estimated number of requests at the upstream, from all hosts. */
     estimate: (id: string): number => {
       const report = reports.get(id);
--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -33,6 +33,8 @@
   deadline: number;
   /** Minimum delay before a hedged request is sent, in milliseconds. */
   minHedgeDelayMs?: number;
+  /** Upstreams whose last places are left to others; chosen only if there are no others. */
+  crowded?: ReadonlySet<string>;
 }
 
 export interface PlainAttemptOptions {
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -30,6 +30,8 @@
 export interface PlainRelayOptions extends PlainAttemptOptions {
   log: EventLog;
   candidates: Candidates;
+  /** Decides between equal upstreams. */
+  random?: () => number;
 }
 
 /**
@@ -41,7 +43,7 @@
  * that may not be repeated is only sent to another upstream if it is certain that it has not run.
  */
 const newPlainRelay = (options: PlainRelayOptions) => {
-  const { clock, log, client, candidates } = options;
+  const { clock, log, client, candidates, random } = options;
   const attempt = newPlainAttempt(options);
 
   const computeHedgeDelayMs = (
@@ -120,10 +122,16 @@
       !signal.aborted;
 
     const chooseNext = (): Candidate | null => {
-      const untried = chooseUpstream(candidates(request.service, tried, request.homes));
+      const spared = request.crowded?.size ? new Set([...tried, ...request.crowded]) : tried;
+      const uncrowded =
+        spared === tried
+          ? null
+          : chooseUpstream(candidates(request.service, spared, request.homes), random);
+      if (uncrowded) return uncrowded;
+      const untried = chooseUpstream(candidates(request.service, tried, request.homes), random);
       if (untried || broken.size === 0) return untried;
       const others = new Set([...tried].filter((id) => !broken.has(id)));
-      return chooseUpstream(candidates(request.service, others, request.homes));
+      return chooseUpstream(candidates(request.service, others, request.homes), random);
     };
 
     const startNext = (): Candidate | null => {
--- a/packages/gateway/src/operatorSettings.ts
+++ b/packages/gateway/src/operatorSettings.ts
@@ -68,6 +68,8 @@
   name: string;
   keys: string[];
   priority: number | null;
+  /** Weight relative to other customers while places are scarce. */
+  share: number;
   /** Regions in which its requests may run; null for all. */
   homes: string[] | null;
 }
--- a/packages/gateway/tests/routes.test.ts
+++ b/packages/gateway/tests/routes.test.ts
@@ -39,7 +39,7 @@
     headerTimeoutMs: 3_000,
     idleTimeoutMs: 15_000,
   },
-  customers: [{ name: 'museum', keys: ['k1', 'k2'], priority: null, homes: null }],
+  customers: [{ name: 'museum', keys: ['k1', 'k2'], priority: null, share: 1, homes: null }],
   ...changes,
 });
 
@@ -64,7 +64,7 @@
   const route = findRoute(effective, 'parts.example', '/a/c');
   t.deepEqual(findCaller(effective, route, 'k2'), {
     type: 'customer',
-    customer: { name: 'museum', keys: ['k1', 'k2'], priority: null, homes: null },
+    customer: { name: 'museum', keys: ['k1', 'k2'], priority: null, share: 1, homes: null },
   });
   t.is(findCaller(effective, route, 'stolen'), null);
   t.is(findCaller(effective, route, null), null);
@@ -111,8 +111,8 @@
   const effective = buildEffective(
     newSettings(1, {
       customers: [
-        { name: 'museum', keys: ['k1'], priority: null, homes: ['eu', 'us'] },
-        { name: 'airport', keys: ['k2'], priority: null, homes: null },
+        { name: 'museum', keys: ['k1'], priority: null, share: 1, homes: ['eu', 'us'] },
+        { name: 'airport', keys: ['k2'], priority: null, share: 1, homes: null },
       ],
     }),
   );
--- a/packages/hosts/src/newMembers.ts
+++ b/packages/hosts/src/newMembers.ts
@@ -18,6 +18,9 @@
   running: number;
 }
 
+/** Requests that a host runs or has waiting, by service. */
+export type Demand = Readonly<Record<string, number>>;
+
 /** A result computed from the known hosts; valid until the view, or the clock, reaches a time. */
 interface CachedResult<T> {
   value: T;
@@ -61,6 +64,7 @@
 
   let cachedLive: CachedResult<Member[]> | null = null;
   let cachedLoad: CachedResult<Map<string, number>> | null = null;
+  let cachedDemand: CachedResult<Demand[]> | null = null;
 
   const currentViewTime = (): number => viewTime ?? clock.now();
 
@@ -78,6 +82,7 @@
       previous.heartbeat.incarnation === heartbeat.incarnation;
     if (!isSameLiveIncarnation) cachedLive = null;
     cachedLoad = null;
+    cachedDemand = null;
     const deadline = clock.now() + readLifetimeMs();
     knownHosts.set(heartbeat.host, { heartbeat, deadline, loadDeadline: deadline });
   };
@@ -92,11 +97,23 @@
     };
   };
 
-  const computeLoad = (): CachedResult<Map<string, number>> => {
-    const value = new Map<string, number>();
-    const others = [...knownHosts.values()].filter(
+  /** Other hosts whose load is recent enough to count. */
+  const listLoaded = (): KnownHost[] =>
+    [...knownHosts.values()].filter(
       ({ heartbeat, loadDeadline }) => heartbeat.host !== host && clock.now() < loadDeadline,
     );
+
+  const computeDemand = (): CachedResult<Demand[]> => {
+    const others = listLoaded();
+    return {
+      value: others.map(({ heartbeat }) => heartbeat.demand ?? {}),
+      validUntil: Math.min(...others.map(({ loadDeadline }) => loadDeadline)),
+    };
+  };
+
+  const computeLoad = (): CachedResult<Map<string, number>> => {
+    const value = new Map<string, number>();
+    const others = listLoaded();
     others.forEach(({ heartbeat }) =>
       Object.entries(heartbeat.running).forEach(([upstream, count]) =>
         value.set(upstream, (value.get(upstream) ?? 0) + count),
@@ -153,6 +170,14 @@
       if (!cachedLoad || clock.now() >= cachedLoad.validUntil) cachedLoad = computeLoad();
       return cachedLoad.value;
     },
+    /**
+     * What other hosts run or have waiting, one entry a host. Expires by the clock, as the counts
+     * above: a host that is cut off would otherwise leave places to hosts that it knows nothing of.
+     */
+    demandElsewhere: (): readonly Demand[] => {
+      if (!cachedDemand || clock.now() >= cachedDemand.validUntil) cachedDemand = computeDemand();
+      return cachedDemand.value;
+    },
     /**
      * Hosts that may send requests to upstreams, with the number that each is running, by name. During
      * an outage the list stays as it was.
--- a/packages/routing/src/newAdmission.ts
+++ b/packages/routing/src/newAdmission.ts
@@ -10,6 +10,8 @@
 /** Bounds on the delay after which a refused caller is told to retry. */
 const RETURN_DELAYS = { minMs: 1_000, maxMs: 60_000 };
 
+const INITIAL_HOLD_MS = 200;
+
 export interface AdmissionOptions {
   clock: Clock;
   service: string;
@@ -48,6 +50,7 @@
     places: localSlots,
     getShare,
     getMaxQueued: (customer) => readSettings().customers.get(customer)?.maxQueued ?? 1,
+    initialHoldMs: INITIAL_HOLD_MS,
     returnDelays: RETURN_DELAYS,
   });
 
--- a/packages/routing/src/newAdmissionQueue.ts
+++ b/packages/routing/src/newAdmissionQueue.ts
@@ -28,6 +28,8 @@
   getShare: (customer: string) => number;
   /** Maximum number of a customer's waiting requests on this host. */
   getMaxQueued: (customer: string) => number;
+  /** Time that a request holds its place, until some were measured. */
+  initialHoldMs: number;
   returnDelays: ReturnDelays;
   random?: () => number;
 }
@@ -42,7 +44,7 @@
   const queue = new PQueue<InstanceType<QueuePolicy['queueClass']>, TicketOptions>({
     queueClass: queuePolicy.queueClass,
   });
-  const holdTimes = newHoldTimes();
+  const holdTimes = newHoldTimes(options.initialHoldMs);
   const assignReturn = newReturnTimes(clock, options.returnDelays, options.random);
   let running = 0;
 
