--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -67,6 +67,7 @@
   const { meter, regions, readRunningCounts, isLeaving } = options;
   let memberCount = 1;
   let readPaces = (): Record<string, number> => ({});
+  let readDemand = (): Record<string, number> => ({});
 
   const heartbeatIntervalMs = (): number =>
     Math.max(MIN_HEARTBEAT_INTERVAL_MS, memberCount * HEARTBEAT_INTERVAL_MS_PER_HOST);
@@ -133,12 +134,17 @@
 
   const isFresh = (): boolean => clock.now() < follower.freshAt() + MAX_VIEW_AGE_MS;
 
-  /** Paces for a heartbeat; left out where there are none. */
+  // Both are left out of a heartbeat where there is nothing to tell.
   const pacesToShare = (): Pick<Heartbeat, 'paces'> => {
     const paces = members.selectPacesToShare(readPaces());
     return Object.keys(paces).length > 0 ? { paces } : {};
   };
 
+  const demandToShare = (): Pick<Heartbeat, 'demand'> => {
+    const demand = readDemand();
+    return Object.keys(demand).length > 0 ? { demand } : {};
+  };
+
   /** The next heartbeat of this host; each call increments the heartbeat number. */
   const nextHeartbeat = (): Heartbeat => {
     heartbeatNumber += 1;
@@ -153,6 +159,7 @@
       isLeaving: isLeaving(),
       running: readRunningCounts(),
       ...pacesToShare(),
+      ...demandToShare(),
       usage: meter.unreportedWindows(usage.isClosed),
       countedThrough: meter.currentWindow() - 1,
     };
@@ -241,6 +248,10 @@
     newLease,
     readIntervalFactor,
     nextHeartbeat,
+    /** @param read returns this host's running and waiting requests, by service */
+    announceDemand: (read: () => Record<string, number>): void => {
+      readDemand = read;
+    },
     writeHeartbeat,
     owns: newOwnership({ clock, host, rank: rankInHomes, isFresh }),
     runningElsewhere: members.runningElsewhere,
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -93,7 +93,9 @@
     settingsView,
     loads,
     readHostLoads: coordination.members.hostLoads,
+    readOtherDemand: coordination.members.demandElsewhere,
   });
+  coordination.announceDemand(upstreams.admissions.demand);
   coordination.sharePaces(upstreams.paces.unusual);
   upstreams.paces.setSharedPaces(coordination.members.paces);
   const { directory, evacuations, health, paces, connections, crashHistory, client, candidates } =
@@ -180,7 +182,13 @@
     health,
     loads,
     paces,
-    scorer: newItemScorer({ clock, log, relay: upstreams.relay, readSettings: settingsView.read }),
+    scorer: newItemScorer({
+      clock,
+      log,
+      relay: upstreams.relay,
+      admit: upstreams.admissions.run,
+      readSettings: settingsView.read,
+    }),
     readSettings: settingsView.read,
     isOwner: (subject, homes) => !isLeaving && coordination.owns(`batches/${subject}`, homes),
     homesOf,
@@ -220,8 +228,10 @@
     readSettings: settingsView.read,
     newestVersion: platform.newestVersion,
     allowedLag: allowedLags.get,
-    // Until hosts agree on paces, all engines count as equally fast.
-    assignEngines: newEngineAssigner({ demandOf: demands.demandOf, paceOf: () => 1 }),
+    assignEngines: newEngineAssigner({
+      demandOf: demands.demandOf,
+      paceOf: (upstream) => coordination.members.paces().get(upstream) ?? 1,
+    }),
     openItems: (service) =>
       batchStore.batches
         .open()
@@ -250,7 +260,7 @@
     log,
     metrics,
     meter,
-    relay: upstreams.relay,
+    relay: upstreams.relayAdmitted,
     relayStream: upstreams.relayStream,
     batches: batchHandlers,
     readSettings: settingsView.read,
--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -17,11 +17,14 @@
 import newPaces from '@cyclamengate/engines/newPaces';
 import { isSameIncarnation } from '@cyclamengate/engines/upstreamEntry';
 import newCandidates from '@cyclamengate/gateway/newCandidates';
+import newAdmittedRelay from '@cyclamengate/gateway/newAdmittedRelay';
+import newPlaceReader from '@cyclamengate/gateway/newPlaceReader';
+import newPlainAdmissions from '@cyclamengate/gateway/newPlainAdmissions';
 import type { ServiceReport } from '@cyclamengate/gateway/serviceReport';
 import newPlainRelay from '@cyclamengate/gateway/newPlainRelay';
 import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
 import newStreamRelay from '@cyclamengate/gateway/newStreamRelay';
-import type { HostLoad } from '@cyclamengate/hosts/newMembers';
+import type { Demand, HostLoad } from '@cyclamengate/hosts/newMembers';
 import newConnections from '@cyclamengate/upstreams/newConnections';
 import describeServices from './describeServices.js';
 import type { HostSettings } from './hostSettings.js';
@@ -30,17 +33,19 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
-  settings: Pick<HostSettings, 'host' | 'failureDomain' | 'regions'>;
+  settings: Pick<HostSettings, 'host' | 'failureDomain' | 'regions' | 'shares'>;
   settingsView: SettingsView;
   loads: Loads;
   /** All hosts that may send requests, in the same order on every host. */
   readHostLoads: () => HostLoad[];
+  /** What each other host runs or has waiting. */
+  readOtherDemand: () => readonly Demand[];
 }
 
 /** What this host knows of the upstreams, and how it sends requests to them. */
 const newUpstreamAccess = (options: UpstreamAccessOptions) => {
   const { clock, log, metrics, settings, settingsView, loads, readHostLoads } = options;
-  const { host, failureDomain, regions } = settings;
+  const { host, failureDomain, regions, shares } = settings;
   const directory = newDirectory(clock, log);
   const evacuations = newEvacuations({ clock, log });
   const health = newHealth(clock, log);
@@ -94,12 +99,32 @@
     failureDomain,
     isConnected: (entry) => client.isConnected(entry),
   });
+  const placeReader = newPlaceReader({
+    clock,
+    regions,
+    directory,
+    evacuations,
+    coldLimits,
+    health,
+    loads,
+    reservedPart: shares.reservedPart,
+  });
+  const admissions = newPlainAdmissions({
+    clock,
+    log,
+    metrics,
+    shares,
+    reader: placeReader,
+    readOtherDemand: options.readOtherDemand,
+    readSettings: settingsView.read,
+  });
   const relayParts = { clock, log, client, candidates, health, loads, paces };
   directory.onRemoved((entry) => {
     client.closeConnections(entry);
     health.remove(entry.id);
     paces.remove(entry);
     coldLimits.remove(entry);
+    placeReader.remove(entry.id);
   });
 
   const countCold = (): number => directory.entries().filter(coldLimits.isCold).length;
@@ -109,6 +134,8 @@
   metrics.gauge('upstreams_slow', paces.countSlow);
   metrics.gauge('upstreams_fast', paces.countFast);
 
+  const relay = newPlainRelay(relayParts);
+
   return {
     directory,
     evacuations,
@@ -122,13 +149,19 @@
     shareTrials: (shared: Trials): void => {
       trials = shared;
     },
-    relay: newPlainRelay(relayParts),
+    admissions,
+    relay,
+    relayAdmitted: newAdmittedRelay(admissions, relay),
     relayStream: newStreamRelay(relayParts),
     /** Whether any upstream of a service in some regions takes requests. */
     hasUpstream: (service: string, homes: Homes): boolean =>
       candidates(service, undefined, homes).length > 0,
     describeServices: (): ServiceReport[] =>
-      describeServices([...(settingsView.read()?.services.keys() ?? [])], candidates, []),
+      describeServices(
+        [...(settingsView.read()?.services.keys() ?? [])],
+        candidates,
+        admissions.describe(),
+      ),
   };
 };
 
--- a/packages/batches/src/findFasterMoves.ts
+++ b/packages/batches/src/findFasterMoves.ts
@@ -47,14 +47,14 @@
 ): Move[] => {
   const byId = new Map(candidates.map((candidate) => [candidate.entry.id, { ...candidate }]));
   const current = [...byId.values()];
-  const fastest = Math.min(...current.map(({ pace }) => pace));
+  const fastest = Math.min(...current.map(({ lastingPace }) => lastingPace));
   const rivals = waiting.filter(({ isWanted, isLate }) => isWanted && !isLate);
 
   const findTargets = (item: MovableItem, pace: number): Candidate[] =>
     current.filter(
       (candidate) =>
-        pace >= candidate.pace * MIN_PACE_RATIO &&
-        estimateRunMs(item.expectedTokens, pace - candidate.pace) >= MIN_SAVED_MS &&
+        pace >= candidate.lastingPace * MIN_PACE_RATIO &&
+        estimateRunMs(item.expectedTokens, pace - candidate.lastingPace) >= MIN_SAVED_MS &&
         mayRun(item, candidate, isRefusing),
     );
 
@@ -63,7 +63,7 @@
     startBy + estimateRunMs(expectedTokens, 1);
 
   const chooseTarget = (item: MovableItem): Candidate | null => {
-    const pace = byId.get(item.upstream)?.pace;
+    const pace = byId.get(item.upstream)?.lastingPace;
     if (pace === undefined || pace < fastest * MIN_PACE_RATIO) return null;
     if (!isAtRisk(item, pace)) return null;
     const targets = findTargets(item, pace);
@@ -75,8 +75,8 @@
     );
     if (free <= longer.length) return null;
     const open = targets.filter((candidate) => countFree(candidate) > 0);
-    const best = Math.min(...open.map((candidate) => candidate.pace));
-    const nearEqual = open.filter((candidate) => candidate.pace <= best * NEAR_EQUAL_RATIO);
+    const best = Math.min(...open.map((candidate) => candidate.lastingPace));
+    const nearEqual = open.filter((candidate) => candidate.lastingPace <= best * NEAR_EQUAL_RATIO);
     return nearEqual[Math.floor(random() * nearEqual.length)] ?? null;
   };
 
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -303,7 +303,7 @@
     const movable = findMovable().filter(({ state }) => mayWork(state));
     groupByScope(movable).forEach((scope) => {
       const current = findCandidates(scope);
-      if (new Set(current.map(({ pace }) => pace)).size <= 1) return;
+      if (new Set(current.map(({ lastingPace }) => lastingPace)).size <= 1) return;
       const running = describe(scope.list, current).map((item) => ({
         ...item,
         upstream: tasks.get(item.key)?.upstream ?? '',
--- a/packages/batches/src/newItemDescriber.ts
+++ b/packages/batches/src/newItemDescriber.ts
@@ -32,7 +32,7 @@
 
   /** A group is late as soon as one of its items is. */
   const findLateGroups = (candidates: Candidate[]): Set<string> => {
-    const bestPace = Math.min(1, ...candidates.map(({ pace }) => pace));
+    const bestPace = Math.min(1, ...candidates.map(({ lastingPace }) => lastingPace));
     const wallTime = clock.wallTime();
     const late = tasks
       .all()
--- a/packages/batches/tests/playSteps.ts
+++ b/packages/batches/tests/playSteps.ts
@@ -101,7 +101,7 @@
       const load = open.filter(({ upstream }) => upstream === id).length;
       return newCandidate(
         id,
-        { load, pace: parts.isOrdered ? speed : 1, latencyMs: 46 * speed },
+        { load, pace: parts.isOrdered ? speed : 1, lastingPace: speed },
         entries.get(id),
       );
     });
