--- a/packages/engines/src/newLoads.ts
+++ b/packages/engines/src/newLoads.ts
@@ -2,6 +2,8 @@
 
 /** Older load reports are stale and ignored. */
 const REPORT_TTL_MS = 1_000;
+/** A report this young is newer than what other hosts' heartbeats say. */
+const FRESH_REPORT_MS = 150;
 
 /** Load as an upstream reports it along with its answers. */
 export interface ReportedLoad {
@@ -23,6 +25,17 @@
 
   const countLocal = (id: string): number => localCounts.get(id) ?? 0;
 
+  const ageOf = ({ deadline }: { deadline: number }): number =>
+    clock.now() - (deadline - REPORT_TTL_MS);
+
+  const estimate = (id: string): number => {
+    const report = reports.get(id);
+    const remote = readRemoteLoads().get(id) ?? 0;
+    if (!report || report.deadline < clock.now()) return countLocal(id) + remote;
+    const reportedRemote = report.load.running + report.load.waiting - report.localAtReport;
+    return countLocal(id) + Math.max(remote, reportedRemote, 0);
+  };
+
   return {
     begin: (id: string): void => {
       localCounts.set(id, countLocal(id) + 1);
@@ -44,16 +57,20 @@
     countAllLocal: (): Record<string, number> => Object.fromEntries(localCounts),
     /** Age of the upstream's newest load report; null if there is none or it is stale. */
     reportAgeMs: (id: string): number | null => {
-      const deadline = reports.get(id)?.deadline ?? -Infinity;
-      return deadline < clock.now() ? null : clock.now() - (deadline - REPORT_TTL_MS);
+      const report = reports.get(id);
+      return !report || report.deadline < clock.now() ? null : ageOf(report);
     },
     /** Estimated number of requests at the upstream, from all hosts. */
-    estimate: (id: string): number => {
+    estimate,
+    /**
+     * The same, but a fresh report goes before heartbeats. Two hosts that each leave their places to
+     * what the other ran half a second ago would leave most of them empty.
+     */
+    estimateNow: (id: string): number => {
       const report = reports.get(id);
-      const remote = readRemoteLoads().get(id) ?? 0;
-      if (!report || report.deadline < clock.now()) return countLocal(id) + remote;
-      const reportedRemote = report.load.running + report.load.waiting - report.localAtReport;
-      return countLocal(id) + Math.max(remote, reportedRemote, 0);
+      if (!report || ageOf(report) > FRESH_REPORT_MS) return estimate(id);
+      const { load, localAtReport } = report;
+      return countLocal(id) + Math.max(0, load.running + load.waiting - localAtReport);
     },
   };
 };
--- a/packages/gateway/src/newPlaceReader.ts
+++ b/packages/gateway/src/newPlaceReader.ts
@@ -37,7 +37,7 @@
   /** Fraction of each upstream's slots that counts as its reserve. */
   reservedPart: number;
   health: Pick<CandidateOptions['health'], 'isBackedOff'>;
-  loads: Pick<Loads, 'countLocal' | 'estimate' | 'reportAgeMs'>;
+  loads: Pick<Loads, 'countLocal' | 'estimateNow' | 'reportAgeMs'>;
 }
 
 /** Counts the places of services by the loads of their upstreams, as far as this host knows them. */
@@ -66,7 +66,7 @@
   const isStartable = (entry: UpstreamEntry): boolean => coldLimits.remaining(entry) > 0;
 
   const countFree = ({ id, slots }: UpstreamEntry): number =>
-    Math.max(0, slots - Math.max(0, loads.estimate(id)));
+    Math.max(0, slots - Math.max(0, loads.estimateNow(id)));
 
   /**
    * Other hosts choose an upstream by older reports, so each upstream has to keep a place for them
@@ -76,7 +76,7 @@
     const own = loads.countLocal(id);
     const peak = peaks.get(id) ?? newSlidingMaximum(clock, PEAK_WINDOW_MS);
     peaks.set(id, peak);
-    peak.add(loads.estimate(id) - own);
+    peak.add(loads.estimateNow(id) - own);
     return Math.max(0, slots - own - peak.read() - Math.round(slots * reservedPart));
   };
 
--- a/packages/gateway/src/newServicePlaces.ts
+++ b/packages/gateway/src/newServicePlaces.ts
@@ -97,10 +97,10 @@
     return [...new Set([...lastSeen.keys(), customer])];
   };
 
-  /** Whether a customer is below its part of this host's share, less the reserve. */
+  /** Whether a customer is below its part of this host's share. */
   const isUnderShare = ({ customer }: Ticket, total: number, competitors: string[]): boolean => {
     const part = getShare(customer) / sum(competitors.map(getShare));
-    const guaranteed = shareOfCallers(total) * (1 - shares.reservedPart) * part;
+    const guaranteed = shareOfCallers(total) * part;
     return runningByCustomer.get(customer) < Math.max(1, Math.floor(guaranteed));
   };
 
