A caller gets the benefit of what its host cannot know of other hosts' load

Change: other hosts' load counts for callers less two of its standard deviations; scoring calls count all of it.

--- a/packages/gateway/src/newPlaceReader.ts
+++ b/packages/gateway/src/newPlaceReader.ts
@@ -13,11 +13,16 @@
 const COUNT_TTL_MS = 2;
 /** Some times as long as a lookup, so that the next ones find what these needed. */
 const PEAK_WINDOW_MS = 200;
+/** Standard deviations of other hosts' load that a caller is given the benefit of. */
+const UNCERTAINTY = 2;
 
 /** Places at the usable upstreams of a service. */
 export interface PlaceCount {
   total: number;
+  /** Places that may be free. */
   free: number;
+  /** Places that are free by all that is known. */
+  certainlyFree: number;
   /** Free places beyond the reserve of each upstream. */
   spare: number;
   /** Age of the newest load report; null if there is none. */
@@ -65,8 +70,19 @@
 
   const isStartable = (entry: UpstreamEntry): boolean => coldLimits.remaining(entry) > 0;
 
-  const countFree = ({ id, slots }: UpstreamEntry): number =>
-    Math.max(0, slots - Math.max(0, loads.estimateNow(id)));
+  /**
+   * What other hosts run has changed since they said so, by about the root of their number. A place is
+   * free for a caller while it may be: a request that waits here though there is a place loses more
+   * than one that waits at its upstream.
+   */
+  const countFree = ({ id, slots }: UpstreamEntry): number => {
+    const own = loads.countLocal(id);
+    const others = Math.max(0, loads.estimateNow(id) - own);
+    return Math.max(0, slots - own - Math.max(0, others - UNCERTAINTY * Math.sqrt(others)));
+  };
+
+  const countCertainlyFree = ({ id, slots }: UpstreamEntry): number =>
+    Math.max(0, slots - loads.estimateNow(id));
 
   /**
    * Other hosts choose an upstream by older reports, so each upstream has to keep a place for them
@@ -93,6 +109,7 @@
     return {
       total: usable.reduce((sum, { slots }) => sum + slots, 0),
       free: usable.reduce((sum, entry) => sum + countFree(entry), 0),
+      certainlyFree: usable.reduce((sum, entry) => sum + countCertainlyFree(entry), 0),
       spare: usable.reduce((sum, entry) => sum + countSpare(entry), 0),
       reportAgeMs: ages.length > 0 ? Math.min(...ages) : null,
     };
--- a/packages/gateway/src/newServicePlaces.ts
+++ b/packages/gateway/src/newServicePlaces.ts
@@ -131,10 +131,10 @@
 
   const mayStartBackground = ({ pool = '' }: Ticket): boolean => {
     if (countBackground() === 0) return true;
-    const { total, free, spare } = reader.count(service, pool);
+    const { total, certainlyFree, spare } = reader.count(service, pool);
     if (total === 0) return true;
     if (countBackground() < shareOfBackground(Math.ceil(total * shares.floorPart))) return true;
-    if (spare === 0 || free <= reserveOf(total)) return false;
+    if (spare === 0 || certainlyFree <= reserveOf(total)) return false;
     return countBackground() < limitOfBackground(total) || clock.now() >= nextOverShareAt;
   };
 
--- a/packages/gateway/tests/scoringShares.load.test.ts
+++ b/packages/gateway/tests/scoringShares.load.test.ts
@@ -102,7 +102,7 @@
   await clock.advance(80);
   t.true((await Promise.all(calls)).every(({ outcome }) => outcome.type === 'answer'));
   const load = host.loads.countAllLocal();
-  t.true((load['u0'] ?? 0) + (load['u1'] ?? 0) >= SLOTS);
+  t.true((load.u0 ?? 0) + (load.u1 ?? 0) >= SLOTS);
   await clock.advance(3_000);
   t.true((await scores.all).every(Boolean));
 });
