--- a/packages/gateway/src/newPlaceReader.ts
+++ b/packages/gateway/src/newPlaceReader.ts
@@ -13,11 +13,16 @@
 const COUNT_TTL_MS = 2;
 /** Some times as long as a lookup, so that the next ones find what these needed. */
 const PEAK_WINDOW_MS = 200;
+/** Standard deviations of other hosts' load that a caller is given the benefit of. */
+const UNCERTAINTY = 2;
 
 /** Places at the usable upstreams of a service. */
 export interface PlaceCount {
   total: number;
+  /** Places that may be free. */
   free: number;
+  /** Places that are free by all that is known. */
+  certainlyFree: number;
   /** Free places beyond the reserve of each upstream. */
   spare: number;
   /** Age of the newest load report; null if there is none. */
@@ -37,7 +42,7 @@
   /** Fraction of each upstream's slots that counts as its reserve. */
   reservedPart: number;
   health: Pick<CandidateOptions['health'], 'isBackedOff'>;
-  loads: Pick<Loads, 'countLocal' | 'estimate' | 'reportAgeMs'>;
+  loads: Pick<Loads, 'countLocal' | 'estimateNow' | 'reportAgeMs'>;
 }
 
 /** Counts the places of services by the loads of their upstreams, as far as this host knows them. */
@@ -65,8 +70,19 @@
 
   const isStartable = (entry: UpstreamEntry): boolean => coldLimits.remaining(entry) > 0;
 
-  const countFree = ({ id, slots }: UpstreamEntry): number =>
-    Math.max(0, slots - Math.max(0, loads.estimate(id)));
+  /**
+   * What other hosts run has changed since they said so, by about the root of their number. A place is
+   * free for a caller while it may be: a request that waits here though there is a place loses more
+   * than one that waits at its upstream.
+   */
+  const countFree = ({ id, slots }: UpstreamEntry): number => {
+    const own = loads.countLocal(id);
+    const others = Math.max(0, loads.estimateNow(id) - own);
+    return Math.max(0, slots - own - Math.max(0, others - UNCERTAINTY * Math.sqrt(others)));
+  };
+
+  const countCertainlyFree = ({ id, slots }: UpstreamEntry): number =>
+    Math.max(0, slots - loads.estimateNow(id));
 
   /**
    * Other hosts choose an upstream by older reports, so each upstream has to keep a place for them
@@ -76,7 +92,7 @@
     const own = loads.countLocal(id);
     const peak = peaks.get(id) ?? newSlidingMaximum(clock, PEAK_WINDOW_MS);
     peaks.set(id, peak);
-    peak.add(loads.estimate(id) - own);
+    peak.add(loads.estimateNow(id) - own);
     return Math.max(0, slots - own - peak.read() - Math.round(slots * reservedPart));
   };
 
@@ -93,6 +109,7 @@
     return {
       total: usable.reduce((sum, { slots }) => sum + slots, 0),
       free: usable.reduce((sum, entry) => sum + countFree(entry), 0),
+      certainlyFree: usable.reduce((sum, entry) => sum + countCertainlyFree(entry), 0),
       spare: usable.reduce((sum, entry) => sum + countSpare(entry), 0),
       reportAgeMs: ages.length > 0 ? Math.min(...ages) : null,
     };
--- a/packages/gateway/src/newServicePlaces.ts
+++ b/packages/gateway/src/newServicePlaces.ts
@@ -97,10 +97,10 @@
     return [...new Set([...lastSeen.keys(), customer])];
   };
 
-  /** Whether a customer is below its part of this host's share, less the reserve. */
+  /** Whether a customer is below its part of this host's share. */
   const isUnderShare = ({ customer }: Ticket, total: number, competitors: string[]): boolean => {
     const part = getShare(customer) / sum(competitors.map(getShare));
-    const guaranteed = shareOfCallers(total) * (1 - shares.reservedPart) * part;
+    const guaranteed = shareOfCallers(total) * part;
     return runningByCustomer.get(customer) < Math.max(1, Math.floor(guaranteed));
   };
 
@@ -131,10 +131,10 @@
 
   const mayStartBackground = ({ pool = '' }: Ticket): boolean => {
     if (countBackground() === 0) return true;
-    const { total, free, spare } = reader.count(service, pool);
+    const { total, certainlyFree, spare } = reader.count(service, pool);
     if (total === 0) return true;
     if (countBackground() < shareOfBackground(Math.ceil(total * shares.floorPart))) return true;
-    if (spare === 0 || free <= reserveOf(total)) return false;
+    if (spare === 0 || certainlyFree <= reserveOf(total)) return false;
     return countBackground() < limitOfBackground(total) || clock.now() >= nextOverShareAt;
   };
 
