Runs that are repeated are counted by cause, with the events kept

Cause: a quarter of all runs was repeated and no figure said why; log lines name it one by one. An item that is moved before its request was sent no longer counts as refused by its engine, and one that is moved at its last event no longer rests it.

--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -171,6 +171,7 @@
   const runner = newBatchRunner({
     clock,
     log,
+    metrics,
     batches: batchStore.batches,
     client,
     newEventReader: newSseReader,
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -2,6 +2,7 @@
 import { describeHomes } from '@cyclamengate/common/homes';
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { Metrics } from '@cyclamengate/common/newMetrics';
 import newNotifier from '@cyclamengate/common/newNotifier';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
@@ -29,6 +30,7 @@
 import type { ItemTask } from './newTaskList.js';
 import type { RequestReader } from './newRequestReader.js';
 import newRefusals from './newRefusals.js';
+import newRepeatCounter from './newRepeatCounter.js';
 import newReservations from './newReservations.js';
 import planMoves from './planMoves.js';
 import planStarts from './planStarts.js';
@@ -50,6 +52,7 @@
 export interface BatchRunnerOptions {
   clock: Clock;
   log: EventLog;
+  metrics: Pick<Metrics, 'count'>;
   batches: Batches;
   client: UpstreamClient;
   newEventReader: () => EventReader;
@@ -113,6 +116,7 @@
   const takeovers = newTakeovers({ clock, isOwner, readParts });
   const isAssigned = newAssignment({ ...options, takeovers });
   const refusals = newRefusals(clock);
+  const repeats = newRepeatCounter(options.metrics);
   const notifier = newNotifier(clock);
   const handOver = newHandoverSender({
     log,
@@ -136,6 +140,7 @@
     log,
     health,
     refusals,
+    repeats,
     routeOf,
     abandon,
     score,
@@ -150,6 +155,7 @@
     const { progress, state } = task;
     const isMixed = isSingleVersion && progress.versions.length > 1;
     if (!isMixed && meetsMinVersion(progress, state.batch.leastVersion)) return;
+    repeats.countDiscarded(progress.events.length);
     task.progress = newProgress();
     task.savedEvents = 0;
     task.isCompletionSaved = false;
@@ -168,6 +174,8 @@
     reservations.release(task.key);
     loads.begin(entry.id);
     const { progress } = task;
+    const isContinued = task.runs === 1 && !task.isCarriedOver && progress.events.length > 0;
+    if (isContinued) repeats.countRun('host_change', progress.events.length);
     log.info('item.started', {
       requestId: item.id,
       batch: batch.id,
--- a/packages/batches/src/newRunEndHandler.ts
+++ b/packages/batches/src/newRunEndHandler.ts
@@ -7,8 +7,9 @@
 import type { BatchState } from './newBatchState.js';
 import type { ItemFinisher } from './newItemFinisher.js';
 import type { Refusals } from './newRefusals.js';
+import type { RepeatCause, RepeatCounter } from './newRepeatCounter.js';
 import type { ItemTask } from './newTaskList.js';
-import type { RunEnd } from './runOnce.js';
+import type { InterruptionCause, RunEnd } from './runOnce.js';
 
 /** Backoff of an item after its first failed run; doubles with each further one. */
 const INITIAL_BACKOFF_MS = 30;
@@ -18,15 +19,20 @@
   clock: Clock;
   log: EventLog;
   health: Health;
-  refusals: Refusals;
+  refusals: Pick<Refusals, 'record'>;
+  repeats: Pick<RepeatCounter, 'countRun'>;
   routeOf: (state: BatchState) => Route | undefined;
   /** Wakes the runner. */
   notifier: Notifier;
 }
 
+/** Whether an interruption is the upstream's doing, so that it is avoided for a while. */
+const isUpstreamFault = (cause: InterruptionCause): boolean =>
+  cause === 'silent' || cause === 'cut';
+
 /** Handles the end of an item's run: scores the item, runs it again, or abandons it. */
 const newRunEndHandler = (options: RunEndHandlerOptions) => {
-  const { clock, log, health, refusals, routeOf, abandon, score, notifier } = options;
+  const { clock, log, health, refusals, repeats, routeOf, abandon, score, notifier } = options;
 
   const requeue = (task: ItemTask, delayMs: number): void => {
     task.phase = 'waiting';
@@ -34,6 +40,11 @@
     notifier.notify();
   };
 
+  const repeat = (task: ItemTask, cause: RepeatCause, delayMs = 0): void => {
+    repeats.countRun(cause, task.progress.events.length);
+    requeue(task, delayMs);
+  };
+
   const backoffMs = (task: ItemTask): number =>
     Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** Math.min(task.failedRuns, 5));
 
@@ -58,21 +69,21 @@
         task.failedRuns += 1;
         task.avoidedUpstream = upstream;
         if (task.failures >= (route?.maxUpstreams ?? 1)) await abandon(task, 'failed too often');
-        else requeue(task, backoffMs(task));
+        else repeat(task, 'failed', backoffMs(task));
         return;
       case 'not-run':
         if (end.isUnreachable) health.recordFailure(upstream, end.reason);
         else refusals.record(upstream, state.batch.model);
         task.avoidedUpstream = upstream;
-        requeue(task, 0);
+        repeat(task, end.isUnreachable ? 'crash' : 'refused');
         return;
       case 'held':
         requeue(task, end.retryAt - clock.now());
         return;
       case 'interrupted':
-        if (end.isUpstreamFault) health.recordFailure(upstream, end.reason);
+        if (isUpstreamFault(end.cause)) health.recordFailure(upstream, end.reason);
         task.avoidedUpstream = upstream;
-        requeue(task, 0);
+        repeat(task, end.cause);
         break;
       default:
         assertNever(end);
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -7,6 +7,7 @@
 import type { UpstreamAnswer, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import readAnswerBody from '@cyclamengate/gateway/readAnswerBody';
 import type { EventReader } from './EventReader.js';
+import type { RepeatCause } from './newRepeatCounter.js';
 import type { Progress } from './progress.js';
 
 /**
@@ -20,11 +21,13 @@
  */
 const EVENT_TIMEOUT_MS = 1_200;
 
+export type InterruptionCause = Extract<RepeatCause, 'moved' | 'silent' | 'cut' | 'version'>;
+
 /** Outcome of one run of an item on one engine. */
 export type RunEnd =
   | { type: 'whole' }
   /** Interrupted by a failure or by this host; the text so far remains valid. */
-  | { type: 'interrupted'; reason: string; isUpstreamFault: boolean }
+  | { type: 'interrupted'; reason: string; cause: InterruptionCause }
   | { type: 'not-run'; reason: string; isUnreachable: boolean }
   /** Not sent, since engines ended while they ran the item; `retryAt` is on the monotonic clock. */
   | { type: 'held'; retryAt: number }
@@ -49,10 +52,10 @@
   signal: AbortSignal;
 }
 
-const interrupted = (reason: string, isUpstreamFault = true): RunEnd => ({
+const interrupted = (reason: string, cause: InterruptionCause): RunEnd => ({
   type: 'interrupted',
   reason,
-  isUpstreamFault,
+  cause,
 });
 
 /** Runs an item once, resuming after its progress, and appends the events to the progress. */
@@ -85,16 +88,21 @@
         version = event.version ?? version;
         const expected = Number(progress.lastEventId ?? 0) + 1;
         const isNext = progress.lastEventId === null || Number(event.id) === expected;
-        if (!isNext) return interrupted(`event ${event.id} instead of ${expected}`);
+        if (!isNext) return interrupted(`event ${event.id} instead of ${expected}`, 'cut');
         if (version === null || !isVersionAllowed(version)) {
-          return interrupted(`version ${version} is not allowed`, false);
+          return interrupted(`version ${version} is not allowed`, 'version');
         }
         progress.events.push(event.data);
         progress.lastEventId = event.id;
         if (!progress.versions.includes(version)) progress.versions.push(version);
       }
     }
-    return progress.events.length > 0 ? { type: 'whole' } : interrupted('no events');
+    return progress.events.length > 0 ? { type: 'whole' } : interrupted('no events', 'cut');
+  };
+
+  const findCause = (): InterruptionCause => {
+    if (signal.aborted) return 'moved';
+    return idleTimeout.signal.aborted ? 'silent' : 'cut';
   };
 
   const endReason = (): string => {
@@ -108,8 +116,9 @@
     if (outcome.type === 'fault') {
       const { fault } = outcome;
       if (fault.type === 'held') return fault;
+      if (signal.aborted) return interrupted(endReason(), findCause());
       if (fault.type === 'unknown') {
-        return interrupted(signal.aborted ? endReason() : fault.reason, !signal.aborted);
+        return interrupted(fault.reason, clock.now() >= firstByteBy ? 'silent' : 'cut');
       }
       if (fault.load) onLoad(fault.load);
       return { type: 'not-run', reason: fault.reason, isUnreachable: fault.isUnreachable };
@@ -126,10 +135,10 @@
 
   try {
     const end = await stream();
-    return end.type === 'whole' && runSignal.aborted ? interrupted(endReason()) : end;
+    return end.type === 'whole' && runSignal.aborted ? interrupted(endReason(), findCause()) : end;
   } catch (error) {
     if (!(error instanceof TruncatedAnswer)) throw error;
-    return interrupted(`${endReason()}: ${error.message}`, !signal.aborted);
+    return interrupted(`${endReason()}: ${error.message}`, findCause());
   } finally {
     idleTimeout.end();
   }
--- a/packages/batches/tests/newBatchRunner.test.ts
+++ b/packages/batches/tests/newBatchRunner.test.ts
@@ -123,7 +123,7 @@
 });
 
 test('a batch that another host hands over resumes after the events that came with it', async (t) => {
-  const { clock, batches, parts, observed, close } = newRunnerHost();
+  const { clock, metrics, batches, parts, observed, close } = newRunnerHost();
   const batch = newBatch('b', [newItem('1', { scoring })]);
   parts.apply({ ...completePart, isWhole: false });
   batches.begin(batch);
@@ -132,13 +132,14 @@
   await clock.advance(500);
   t.deepEqual(observed.runs, ['1']);
   t.is(observed.results.at(-1)?.text?.topic, 'one\ntwo');
+  t.is(metrics.readCounter('item_runs_repeated_host_change'), 1);
   await close();
 });
 
 test('a long item moves once to a much faster engine and resumes after its last event', async (t) => {
   // Which items are long shows only as they run. The longest item of a step stayed on a slow engine
   // while slots twice as fast became free.
-  const { clock, batches, observed, state, resumeEngine, close } = newRunnerHost();
+  const { clock, metrics, batches, observed, state, resumeEngine, close } = newRunnerHost();
   state.isSlow = true;
   batches.apply(
     newBatch('b', [newItem('1', { scoring, expectedTokens: 9_000 })], {
@@ -149,6 +150,8 @@
   state.candidates = [newCandidate('a'), newCandidate('fast', { pace: 0.46 })];
   await clock.advance(2_000);
   t.deepEqual(observed.upstreams, ['a', 'fast']);
+  t.is(metrics.readCounter('item_runs_repeated_moved'), 1);
+  t.is(metrics.readCounter('item_events_kept'), 1);
   resumeEngine.abort();
   await clock.advance(300);
   t.is(observed.results[0]?.text?.topic, 'one\ntwo');
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -4,6 +4,7 @@
 import UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamOutcome, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
+import newMetrics from '@cyclamengate/common/newMetrics';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import newSettingsView from '@cyclamengate/gateway/newSettingsView';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
@@ -95,9 +96,11 @@
     closeConnections(): void {}
   }
 
+  const metrics = newMetrics();
   const runner = newBatchRunner({
     clock,
     log: silentLog,
+    metrics,
     batches,
     client: new FakeClient(),
     newEventReader: newLineReader,
@@ -139,7 +142,7 @@
     await clock.advance(500);
     await running;
   };
-  return { clock, batches, parts, observed, state, resumeEngine, runner, close };
+  return { clock, metrics, batches, parts, observed, state, resumeEngine, runner, close };
 };
 
 export default newRunnerHost;
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -110,7 +110,7 @@
   // The engine crashes in the middle of a text. Generated again from the start, a long text would
   // miss its step.
   const first = await run([eventLine(1, 'a'), eventLine(2, 'b')], { end: 'broken' });
-  t.is(first.outcome.type, 'interrupted');
+  t.like(first.outcome, { type: 'interrupted', cause: 'cut' });
   const second = await run([eventLine(3, 'c')], { progress: first.progress, version: 4 });
   t.is(second.sent[0]?.lastEventId, '2');
   t.is(second.outcome.type, 'whole');
@@ -131,7 +131,7 @@
 test('tokens of a version that is too old are not accepted', async (t) => {
   // The engine's entry states the new weights, but its response states older ones.
   const { outcome, progress } = await run([eventLine(1, 'a')], { minVersion: 2, version: 1 });
-  t.is(outcome.type, 'interrupted');
+  t.like(outcome, { type: 'interrupted', cause: 'version' });
   t.deepEqual(progress.events, []);
 });
 
