After a refusal one item tries an engine before others follow

Cause: an engine that loads weights for about a second refused as many items as it had free slots, at each end of its pause of 220 ms.

--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -211,6 +211,7 @@
         (!isSingleVersion || progress.versions.every((other) => other === version)),
       onEvent: (gapMs) => health.recordLatency(entry.id, gapMs),
       onLoad: (load) => loads.report(entry.id, load),
+      onAccepted: () => refusals.clear(entry.id, batch.model),
       signal: AbortSignal.any([task.controller.signal, runController.signal]),
     });
     loads.end(entry.id);
@@ -255,7 +256,8 @@
       planStarts(describe(scope.list, current), current, refusals.isRefusing).forEach(
         ({ key, candidate }) => {
           const task = tasks.get(key);
-          if (task) start(task, candidate);
+          const isAllowed = task && refusals.mayStart(candidate.entry.id, task.state.batch.model);
+          if (isAllowed) start(task, candidate);
         },
       );
     });
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -49,6 +49,8 @@
   /** @param gapMs time since the previous event */
   onEvent: (gapMs: number) => void;
   onLoad: (load: ReportedLoad) => void;
+  /** Called when the engine begins to answer the request. */
+  onAccepted: () => void;
   signal: AbortSignal;
 }
 
@@ -61,7 +63,7 @@
 /** Runs an item once, resuming after its progress, and appends the events to the progress. */
 const runOnce = async (options: RunOnceOptions): Promise<RunEnd> => {
   const { clock, client, newEventReader, entry, request, progress } = options;
-  const { isVersionAllowed, onEvent, onLoad, signal } = options;
+  const { isVersionAllowed, onEvent, onLoad, onAccepted, signal } = options;
   const idleTimeout = newIdleTimeout({
     clock,
     signal,
@@ -125,7 +127,10 @@
     }
     const { answer } = outcome;
     if (answer.load) onLoad(answer.load);
-    if (answer.status < 300) return readEvents(answer);
+    if (answer.status < 300) {
+      onAccepted();
+      return readEvents(answer);
+    }
     // Only a connection whose answer has been read to its end can carry the next request.
     await readAnswerBody(answer);
     return answer.status === 422
--- a/packages/batches/tests/planning.test.ts
+++ b/packages/batches/tests/planning.test.ts
@@ -128,6 +128,22 @@
   t.is(planStarts([waiting('1')], candidates, refusals.isRefusing).length, 1);
 });
 
+test('after a refusal one item tries the engine before others follow', async (t) => {
+  // An engine with six free slots refused six items each time that its pause was over, until its
+  // load was complete.
+  const clock = newManualClock();
+  const refusals = newRefusals(clock);
+  const tryAll = (): number =>
+    Array.from({ length: 6 }).filter(() => refusals.mayStart('a', 'x')).length;
+  t.is(tryAll(), 6, 'nothing is held back before the first refusal');
+  refusals.record('a', 'x');
+  t.is(tryAll(), 0);
+  await clock.advance(250);
+  t.is(tryAll(), 1);
+  refusals.clear('a', 'x');
+  t.is(tryAll(), 6);
+});
+
 test('an item is not retried on the engine that failed it while another engine is available', (t) => {
   const items = [waiting('1', { avoidedUpstream: 'a' })];
   const starts = planStarts(items, [newCandidate('a'), newCandidate('b', { load: 6 })], never);
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -82,6 +82,7 @@
     isVersionAllowed: (candidate) => candidate >= minVersion,
     onEvent: () => {},
     onLoad: () => {},
+    onAccepted: () => {},
     signal: new AbortController().signal,
   });
   return { outcome, progress, sent, read };
