--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -2,6 +2,7 @@
 import { describeHomes } from '@cyclamengate/common/homes';
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { Metrics } from '@cyclamengate/common/newMetrics';
 import newNotifier from '@cyclamengate/common/newNotifier';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
@@ -31,6 +32,7 @@
 import type { ItemTask } from './newTaskList.js';
 import type { RequestReader } from './newRequestReader.js';
 import newRefusals from './newRefusals.js';
+import newRepeatCounter from './newRepeatCounter.js';
 import newReservations from './newReservations.js';
 import planMoves from './planMoves.js';
 import planStarts from './planStarts.js';
@@ -54,6 +56,7 @@
 export interface BatchRunnerOptions {
   clock: Clock;
   log: EventLog;
+  metrics: Pick<Metrics, 'count'>;
   batches: Batches;
   client: UpstreamClient;
   newEventReader: () => EventReader;
@@ -118,6 +121,7 @@
   const takeovers = newTakeovers({ clock, isOwner, readParts });
   const isAssigned = newAssignment({ ...options, takeovers });
   const refusals = newRefusals(clock);
+  const repeats = newRepeatCounter(options.metrics);
   const notifier = newNotifier(clock);
   const handOver = newHandoverSender({
     log,
@@ -141,6 +145,7 @@
     log,
     health,
     refusals,
+    repeats,
     routeOf,
     abandon,
     score,
@@ -155,6 +160,7 @@
     const { progress, state } = task;
     const isMixed = isSingleVersion && progress.versions.length > 1;
     if (!isMixed && meetsMinVersion(progress, state.batch.leastVersion)) return;
+    repeats.countDiscarded(progress.events.length);
     task.progress = newProgress();
     task.savedEvents = 0;
     task.isCompletionSaved = false;
@@ -173,6 +179,8 @@
     reservations.release(task.key);
     loads.begin(entry.id);
     const { progress } = task;
+    const isContinued = task.runs === 1 && !task.isCarriedOver && progress.events.length > 0;
+    if (isContinued) repeats.countRun('host_change', progress.events.length);
     log.info('item.started', {
       requestId: item.id,
       batch: batch.id,
@@ -209,6 +217,7 @@
         (!isSingleVersion || progress.versions.every((other) => other === version)),
       onEvent: (gapMs) => paces.record(entry, EVENT_KIND, gapMs),
       onLoad: (load) => loads.report(entry.id, load),
+      onAccepted: () => refusals.clear(entry.id, batch.model),
       signal: AbortSignal.any([task.controller.signal, runController.signal]),
     });
     loads.end(entry.id);
@@ -253,7 +262,8 @@
       planStarts(describe(scope.list, current), current, refusals.isRefusing).forEach(
         ({ key, candidate }) => {
           const task = tasks.get(key);
-          if (task) start(task, candidate);
+          const isAllowed = task && refusals.mayStart(candidate.entry.id, task.state.batch.model);
+          if (isAllowed) start(task, candidate);
         },
       );
     });
