A test that noise of half a second moves none of an engine's streams

Cause: nothing held the rule that samples lie 100 ms apart; without it one burst of events fills the samples. Change: the test.

--- a/packages/engines/tests/newPaces.test.ts
+++ b/packages/engines/tests/newPaces.test.ts
@@ -69,6 +69,17 @@
   t.is(paceOf('noisy'), 1, 'a newer report counts at once');
 });
 
+test('noise that an engine does not report moves none of its many streams', (t) => {
+  // Its streams give an event every 11 ms together, so half a second of noise gives 45 late ones.
+  const { clock, paces, work, lastingPaceOf } = newFixture();
+  work(15, { a: 35, b: 35, noisy: 35 });
+  for (let count = 0; count < 45; count += 1) {
+    clock.jump(11);
+    paces.record(newEntry('noisy'), 'event', 88);
+    t.is(lastingPaceOf('noisy'), 1);
+  }
+});
+
 test('work that was measured during a reported slowdown tells of the usual pace', (t) => {
   // A burst of calls goes to an upstream while its neighbour is busy.
   const { clock, paces, report, lastingPaceOf } = newFixture();
