Paces cost less: medians are kept while an upstream has no new samples

Cause: computing the paces of 100 upstreams sorted all samples, 1.3 ms each 200 ms, and each candidate read the clock twice more. Change: the medians of samples are kept with them; the clock is read only where there is a report or a new sample.

--- a/packages/engines/src/computeLastingPaces.ts
+++ b/packages/engines/src/computeLastingPaces.ts
@@ -16,16 +16,35 @@
 
 const positiveMedian = (values: number[]): number => median(values) || 1;
 
+/**
+ * The median time of each kind at one upstream. Samples never change once they are here, and most
+ * upstreams get no new ones between two computations.
+ */
+const mediansBySamples = new WeakMap<readonly PaceSample[], Map<string, number>>();
+
+const findKindMedians = (samples: readonly PaceSample[]): Map<string, number> => {
+  const known = mediansBySamples.get(samples);
+  if (known) return known;
+  const medians = new Map(
+    [...groupBy(samples, ({ kind }) => kind)].map(([kind, ofKind]) => [
+      kind,
+      positiveMedian(ofKind.map(({ durationMs }) => durationMs)),
+    ]),
+  );
+  mediansBySamples.set(samples, medians);
+  return medians;
+};
+
 /** The usual time of each kind; a kind that only one upstream did says nothing on its pace. */
 const findUsualTimes = (
   samplesById: ReadonlyMap<string, readonly PaceSample[]>,
 ): Map<string, number> => {
   const mediansByKind = new Map<string, number[]>();
   samplesById.forEach((samples) =>
-    groupBy([...samples], ({ kind }) => kind).forEach((ofKind, kind) => {
-      const medians = mediansByKind.get(kind) ?? [];
-      medians.push(positiveMedian(ofKind.map(({ durationMs }) => durationMs)));
-      mediansByKind.set(kind, medians);
+    findKindMedians(samples).forEach((durationMs, kind) => {
+      const medians = mediansByKind.get(kind);
+      if (medians) medians.push(durationMs);
+      else mediansByKind.set(kind, [durationMs]);
     }),
   );
   return new Map(
@@ -39,6 +58,14 @@
   samples: readonly PaceSample[],
   usualTimes: ReadonlyMap<string, number>,
 ): number | null => {
+  if (samples.length < MIN_SAMPLES) return null;
+  const kindMedians = findKindMedians(samples);
+  if (kindMedians.size === 1) {
+    // As below, without sorting again.
+    const [[kind, durationMs] = ['', 0]] = kindMedians;
+    const usualMs = usualTimes.get(kind);
+    return usualMs === undefined ? null : durationMs / usualMs;
+  }
   const ratios = samples.flatMap(({ kind, durationMs }) => {
     const usualMs = usualTimes.get(kind);
     return usualMs === undefined ? [] : [durationMs / usualMs];
--- a/packages/engines/src/newPaces.ts
+++ b/packages/engines/src/newPaces.ts
@@ -71,8 +71,9 @@
   /** The reported pace; its weight shrinks with its age, as noise has then likely ended. */
   const momentaryPace = (id: string): number => {
     const report = loads.newestReport(id);
-    const age = report ? clock.now() - report.reportedAt : Infinity;
-    if (!report || report.load.pace === null || age >= REPORT_TTL_MS) return 1;
+    if (!report || report.load.pace === null) return 1;
+    const age = clock.now() - report.reportedAt;
+    if (age >= REPORT_TTL_MS) return 1;
     return 1 + (report.load.pace - 1) * (1 - age / REPORT_TTL_MS);
   };
 
@@ -103,7 +104,8 @@
   };
 
   const readLastingPaces = (service: MeasuredService): ReadonlyMap<string, number> => {
-    if (clock.now() < service.refreshAt) return service.lastingPaces;
+    const { refreshAt, lastingPaces } = service;
+    if (refreshAt === Infinity || clock.now() < refreshAt) return lastingPaces;
     service.lastingPaces = computeLastingPaces(
       new Map([...service.upstreams].map(([id, { samples }]) => [id, samples])),
       readSharedPace,
--- a/packages/gateway/src/newCandidates.ts
+++ b/packages/gateway/src/newCandidates.ts
@@ -29,15 +29,19 @@
   const { directory, evacuations, coldLimits, health, loads, failureDomain, isConnected } = options;
   const { regions, paces } = options;
 
-  const describe = (entry: UpstreamEntry): Candidate => ({
-    entry,
-    load: loads.estimate(entry.id),
-    ...paces.describe(entry),
-    isBackedOff: health.isBackedOff(entry.id),
-    isOwnDomain: entry.failureDomain === failureDomain,
-    isConnected: isConnected(entry),
-    remainingStarts: coldLimits.remaining(entry),
-  });
+  const describe = (entry: UpstreamEntry): Candidate => {
+    const { pace, lastingPace } = paces.describe(entry);
+    return {
+      entry,
+      load: loads.estimate(entry.id),
+      pace,
+      lastingPace,
+      isBackedOff: health.isBackedOff(entry.id),
+      isOwnDomain: entry.failureDomain === failureDomain,
+      isConnected: isConnected(entry),
+      remainingStarts: coldLimits.remaining(entry),
+    };
+  };
 
   return (
     service: string,
