--- a/packages/gateway/src/newServiceAdmission.ts
+++ b/packages/gateway/src/newServiceAdmission.ts
@@ -17,6 +17,8 @@
 
 /** Until a service's calls were measured. */
 const INITIAL_HOLD_MS = 45;
+/** A start that takes no longer has not waited. */
+const MAX_START_MS = 1;
 /** Bounds on the time until a refused caller returns; its own patience is some seconds. */
 const RETURN_DELAYS = { minMs: 50, maxMs: 10_000 };
 
@@ -141,7 +143,7 @@
     const arrivedAt = clock.now();
     const startInPlace = async (): Promise<T> => {
       const startedAt = clock.now();
-      if (startedAt > arrivedAt) noteQueuedStart(work, ticket, startedAt - arrivedAt);
+      if (startedAt > arrivedAt + MAX_START_MS) noteQueuedStart(work, ticket, startedAt - arrivedAt);
       try {
         return await start(findCrowded(ticket));
       } finally {
