--- a/apps/host/tests/batchHelpers.ts
+++ b/apps/host/tests/batchHelpers.ts
@@ -3,6 +3,9 @@
 import { send, waitUntil } from './newHosts.js';
 import type { Answer, TestHost } from './newHosts.js';
 
+/** The outcome is unknown: the batch may run or not. */
+const UNKNOWN_STATUS = 504;
+
 export interface ResultPage {
   total: number;
   'next-token': number;
@@ -40,6 +43,20 @@
 export const submit = (host: TestHost, id: string, body: string): Promise<Answer> =>
   send(host, 'POST', '/rounds/', { id, body });
 
+/**
+ * Submits a batch as trainers do, who send it again while its outcome is unknown; a host answers so
+ * if the store, which may be short of processor time here, is silent for a second.
+ * @returns the first answer that tells the outcome
+ */
+export const submitUntilKnown = async (
+  host: TestHost,
+  id: string,
+  body: string,
+): Promise<Answer> => {
+  const answer = await submit(host, id, body);
+  return answer.status === UNKNOWN_STATUS ? submitUntilKnown(host, id, body) : answer;
+};
+
 export const readPage = async (
   host: TestHost,
   id: string,
