Upstreams of a plain service that differ in pace no longer end hosts

Cause: a plain service has no models. Change: nothing is divided where there are no models. Result: a test that fails before.

--- a/packages/engines/src/assignEngines.ts
+++ b/packages/engines/src/assignEngines.ts
@@ -145,7 +145,10 @@
  * reassigns little more than that engine's models.
  */
 const assignEngines = (models: ModelDemand[], engines: AssignableEngine[]): EngineAssignments => {
-  if (engines.length === 0) return new Map(models.map(({ model }) => [model, new Set<string>()]));
+  // Plain services have no models.
+  if (models.length === 0 || engines.length === 0) {
+    return new Map(models.map(({ model }) => [model, new Set<string>()]));
+  }
   const draft = newDraft(models, engines);
   const pairs = models
     .flatMap(({ model }) =>
--- a/packages/engines/tests/demand.test.ts
+++ b/packages/engines/tests/demand.test.ts
@@ -50,6 +50,11 @@
   });
 });
 
+test('a plain service, whose upstreams differ in pace, has no models to assign', (t) => {
+  // Guards against hosts that end as soon as one upstream of a plain service turns slow.
+  t.deepEqual(assignEngines([], newFleet(4, 'portal')), new Map());
+});
+
 test('a trainer that asks for three times as much gets three times the capacity', (t) => {
   // Every model had the same number of engines. The steps of the trainer that asks for most were
   // late while engines of the others were idle.
