Items are described only where one can start or move

Cause: the order of items was prepared at each check, also while all slots were taken. Change: nothing is described while no slot is free and none is held, nor for moves while no much faster engine has a free slot. No decision changes.

--- a/packages/batches/src/findFasterMoves.ts
+++ b/packages/batches/src/findFasterMoves.ts
@@ -29,6 +29,14 @@
 /** Engines whose paces differ by less count as equal. */
 const NEAR_EQUAL_RATIO = 1.1;
 
+/** Whether any engine with a free slot is much faster than another one. */
+export const hasFasterRoom = (candidates: Candidate[]): boolean => {
+  const slowest = Math.max(...candidates.map(({ pace }) => pace));
+  return candidates.some(
+    (candidate) => slowest >= candidate.pace * MIN_PACE_RATIO && countFree(candidate) > 0,
+  );
+};
+
 /**
  * Selects running items that should resume on a much faster engine, and that engine.
  *
@@ -68,6 +76,7 @@
     if (!isAtRisk(item, pace)) return null;
     const targets = findTargets(item, pace);
     const free = targets.reduce((sum, candidate) => sum + countFree(candidate), 0);
+    if (free === 0) return null;
     const longer = rivals.filter(
       (rival) =>
         rival.expectedTokens > item.expectedTokens &&
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -18,7 +18,7 @@
 import type { EventReader } from './EventReader.js';
 import type { Batches } from './newBatches.js';
 import type { BatchState } from './newBatchState.js';
-import findFasterMoves from './findFasterMoves.js';
+import findFasterMoves, { hasFasterRoom } from './findFasterMoves.js';
 import newAssignment from './newAssignment.js';
 import newHandoverSender from './newHandoverSender.js';
 import newItemDescriber from './newItemDescriber.js';
@@ -33,7 +33,7 @@
 import newRepeatCounter from './newRepeatCounter.js';
 import newReservations from './newReservations.js';
 import planMoves from './planMoves.js';
-import planStarts from './planStarts.js';
+import planStarts, { countFree } from './planStarts.js';
 import { meetsMinVersion, newProgress } from './progress.js';
 import newRunEndHandler from './newRunEndHandler.js';
 import runOnce from './runOnce.js';
@@ -253,6 +253,9 @@
   const startWaiting = (waiting: ItemTask[]): void =>
     groupByScope(waiting.filter((task) => !abandonExpired(task))).forEach((scope) => {
       const current = findCandidates(scope);
+      // Mostly all slots are taken, and describing the items would be wasted work.
+      const hasRoom = current.some((candidate) => countFree(candidate) > 0);
+      if (!hasRoom && !scope.list.some(({ key }) => reservations.find(key) !== null)) return;
       planStarts(describe(scope.list, current), current, refusals.isRefusing).forEach(
         ({ key, candidate }) => {
           const task = tasks.get(key);
@@ -307,7 +310,7 @@
     const movable = findMovable().filter(({ state }) => mayWork(state));
     groupByScope(movable).forEach((scope) => {
       const current = findCandidates(scope);
-      if (new Set(current.map(({ pace }) => pace)).size <= 1) return;
+      if (!hasFasterRoom(current)) return;
       const running = describe(scope.list, current).map((item) => ({
         ...item,
         upstream: tasks.get(item.key)?.upstream ?? '',
--- a/packages/batches/src/planStarts.ts
+++ b/packages/batches/src/planStarts.ts
@@ -128,6 +128,7 @@
 
   /** The slot that is held for a moved item becomes free for it, or for others. */
   const startReserved = (item: WaitingItem): boolean => {
+    if (item.reservedUpstream === null) return false;
     const target = current.find(({ entry }) => entry.id === item.reservedUpstream);
     if (!target) return false;
     target.load -= 1;
