Tests of moves give lasting paces, by which moves are decided

Cause: the parts were built side by side; moves go by lasting paces since the merge, and their tests gave momentary ones.

--- a/packages/batches/tests/findFasterMoves.test.ts
+++ b/packages/batches/tests/findFasterMoves.test.ts
@@ -29,7 +29,8 @@
 });
 
 const usual = newCandidate('usual', { load: 6 });
-const newFast = (free: number, id = 'fast') => newCandidate(id, { pace: 0.46, load: 8 - free });
+const newFast = (free: number, id = 'fast') =>
+  newCandidate(id, { lastingPace: 0.46, load: 8 - free });
 
 test('the longest items move to a much faster engine as far as it has free slots', (t) => {
   // An item that has turned out long stayed on a slow engine while slots twice as fast were free.
@@ -52,15 +53,15 @@
 test('nothing moves where paces are alike, and an item that has moved does not move back', (t) => {
   const alike = [
     usual,
-    newCandidate('other', { pace: 0.8 }),
-    newCandidate('slower', { pace: 1.2 }),
+    newCandidate('other', { lastingPace: 0.8 }),
+    newCandidate('slower', { lastingPace: 1.2 }),
   ];
   t.deepEqual(findFasterMoves(NOW, [running('a')], [], alike, never), []);
   const moved = running('a', { upstream: 'fast' });
   for (const noise of [0.7, 1, 1.3]) {
     const engines = [
       { ...usual, load: 0 },
-      { ...newFast(0), pace: 0.46 * noise },
+      { ...newFast(0), lastingPace: 0.46 * noise },
     ];
     t.deepEqual(findFasterMoves(NOW, [moved], [], engines, never), []);
   }
--- a/packages/batches/tests/newBatchRunner.test.ts
+++ b/packages/batches/tests/newBatchRunner.test.ts
@@ -147,7 +147,7 @@
     }),
   );
   await clock.advance(300);
-  state.candidates = [newCandidate('a'), newCandidate('fast', { pace: 0.46 })];
+  state.candidates = [newCandidate('a'), newCandidate('fast', { pace: 0.46, lastingPace: 0.46 })];
   await clock.advance(2_000);
   t.deepEqual(observed.upstreams, ['a', 'fast']);
   t.is(metrics.readCounter('item_runs_repeated_moved'), 1);
@@ -165,7 +165,7 @@
   batches.apply(newBatch('b', [newItem('1', { scoring, expectedTokens: 9_000 })]));
   await clock.advance(300);
   state.isFresh = false;
-  state.candidates = [newCandidate('a'), newCandidate('fast', { pace: 0.46 })];
+  state.candidates = [newCandidate('a'), newCandidate('fast', { pace: 0.46, lastingPace: 0.46 })];
   await clock.advance(2_000);
   t.deepEqual(observed.upstreams, ['a']);
   await close();
--- a/packages/batches/tests/newItemDescriber.test.ts
+++ b/packages/batches/tests/newItemDescriber.test.ts
@@ -22,7 +22,10 @@
   };
   const describeAll = (pace = 1) =>
     Object.fromEntries(
-      describe(tasks.all(), [newCandidate('a', { pace })]).map((item) => [item.key, item]),
+      describe(tasks.all(), [newCandidate('a', { lastingPace: pace })]).map((item) => [
+        item.key,
+        item,
+      ]),
     );
   const finish = (item: string, state: 'completed' | 'abandoned'): void => {
     const result = { type: 'result' as const, batch: 'b', item, state };
