--- a/packages/hosts/tests/newMembers.test.ts
+++ b/packages/hosts/tests/newMembers.test.ts
@@ -114,3 +114,16 @@
   }
   t.is(live(), 'b c', 'a host without heartbeats is not live');
 });
+
+test('demand of other hosts counts until the clock passes its lifetime, also in an outage', (t) => {
+  // Guards against places that a host which is cut off leaves to hosts that it hears nothing of.
+  const { clock, members } = newParts();
+  members.apply(newHeartbeat('a', { demand: { portal: 9 } }));
+  members.apply(newHeartbeat('b', { demand: { portal: 4 } }));
+  members.apply(newHeartbeat('older'));
+  t.deepEqual(members.demandElsewhere(), [{ portal: 4 }, {}]);
+  members.apply(newHeartbeat('b', { demand: { portal: 2 } }));
+  t.deepEqual(members.demandElsewhere(), [{ portal: 2 }, {}]);
+  clock.jump(HEARTBEAT_LIFETIME_MS);
+  t.deepEqual(members.demandElsewhere(), []);
+});
