--- a/packages/gateway/src/newServiceAdmission.ts
+++ b/packages/gateway/src/newServiceAdmission.ts
@@ -154,6 +154,7 @@
 
   const describe = () => {
     const { total, free, reportAgeMs } = reader.count(service, reader.poolOf(null));
+    /** For a customer that has nothing waiting. */
     const expectWaitMs = (workClass: WorkClass): number => {
       const work: Work = {
         requestId: '',
--- a/packages/gateway/tests/scarcity.load.test.ts
+++ b/packages/gateway/tests/scarcity.load.test.ts
@@ -1,11 +1,22 @@
 import { newManualClock, settle } from '@cyclamengate/fakes/newManualClock';
 import test from 'ava';
 import type { WorkClass } from '../src/workClasses.js';
+import { silentLog } from './helpers.js';
 import { newPlainHosts, repeat, SLOTS } from './newPlainHosts.js';
 
 const isAnswered = ({ outcome }: { outcome: { type: string } }): boolean =>
   outcome.type === 'answer';
 
+const newLineCollector = () => {
+  const lines: { event: string; fields: Record<string, unknown> }[] = [];
+  return {
+    lines,
+    info: (event: string, fields: Record<string, unknown> = {}): void => {
+      lines.push({ event, fields });
+    },
+  };
+};
+
 test('where places are free every request starts at once', async (t) => {
   // Guards against an admission that delays requests though nothing is scarce.
   const clock = newManualClock();
@@ -157,3 +168,38 @@
   await clock.advance(5_000);
   await Promise.all(calls);
 });
+
+test('a refusal and a queued start are explained by request id, in a bounded number of lines', async (t) => {
+  // Guards against an operator who can't say why a request was refused, and against a log that costs
+  // more than the requests.
+  const clock = newManualClock();
+  const { info, lines } = newLineCollector();
+  const host = newPlainHosts(clock, 1, { log: { ...silentLog, info } }).newHost('a');
+  const calls = Array.from({ length: 100 }, () =>
+    host.call({ customer: 'museum', workMs: 50, timeoutMs: 300 }),
+  );
+  await settle();
+  const [service] = host.admissions.describe();
+  t.is(service?.places, SLOTS);
+  t.deepEqual(
+    service?.waiting.map(({ customer, priority }) => `${customer} ${priority}`),
+    ['museum urgent'],
+  );
+  t.is(service?.running[0]?.count, SLOTS);
+  t.true((service?.classes[0]?.expectedWaitMs ?? 0) > 0);
+  await clock.advance(500);
+  const results = await Promise.all(calls);
+  const refused = results.filter((result) => !isAnswered(result)).length;
+  t.true(refused > 40);
+  const counted = ['not_reachable', 'passed'].map((reason) =>
+    host.metrics.readCounter(`admission_refused_deadline_${reason}`),
+  );
+  t.is(counted[0]! + counted[1]!, refused);
+  t.true(lines.length <= 20);
+  const refusal = lines.find(({ event }) => event === 'admission.refused');
+  t.like(refusal?.fields, { requestId: 'r1', code: 'deadline-not-reachable', places: SLOTS });
+  t.true(Number(refusal?.fields.waitingAhead) > 0);
+  t.true(Number(refusal?.fields.expectedWaitMs) > 0);
+  t.true('reportAgeMs' in (refusal?.fields ?? {}));
+  t.true(host.metrics.text().includes('admission_waiting{service="portal",class="urgent"} 0'));
+});
