A wait whose deadline has passed as it begins also reads what has arrived

Cause: the shared wait counted its lateness from its own start; a host so short of processor time that the deadline passed before the request was sent lost the 50 ms that newHttpUpstreamClient gave it before. Change: lateness counts from the deadline.

--- a/packages/common/src/sleepUntilCaughtUp.ts
+++ b/packages/common/src/sleepUntilCaughtUp.ts
@@ -16,9 +16,8 @@
   deadline: number,
   signal: AbortSignal,
 ): Promise<void> => {
-  const dueAt = Math.max(deadline, clock.now());
   await clock.sleepUntil(deadline, signal);
-  if (clock.now() > dueAt + MAX_LATENESS_MS) {
+  if (clock.now() > deadline + MAX_LATENESS_MS) {
     await sleepWhileResponsive(clock, CATCH_UP_MS, signal);
   }
 };
