--- a/packages/gateway/src/newServiceAdmission.ts
+++ b/packages/gateway/src/newServiceAdmission.ts
@@ -143,7 +143,8 @@
     const arrivedAt = clock.now();
     const startInPlace = async (): Promise<T> => {
       const startedAt = clock.now();
-      if (startedAt > arrivedAt + MAX_START_MS) noteQueuedStart(work, ticket, startedAt - arrivedAt);
+      if (startedAt > arrivedAt + MAX_START_MS)
+        noteQueuedStart(work, ticket, startedAt - arrivedAt);
       try {
         return await start(findCrowded(ticket));
       } finally {
