A usage window is reported once by a host that reads its own record late

Change: the holder counts a window as reported from the answer on. Result: a new test, which fails before (the report is sent again).

--- a/packages/hosts/src/reportWindows.ts
+++ b/packages/hosts/src/reportWindows.ts
@@ -92,6 +92,8 @@
     const outcome = await reports.send(report, AbortSignal.timeout(SEND_TIMEOUT_MS));
     log.info('usage.reported', { window: unreported.window, outcome, fencingToken: hold.token });
     if (outcome === 'unknown') return;
+    // This host may read its own record later than it checks again.
+    usage.applyReported(unreported.window);
     await write(
       { type: 'usage-reported', window: unreported.window },
       clock.now() + WRITE_TIMEOUT_MS,
--- a/packages/hosts/tests/reportWindows.test.ts
+++ b/packages/hosts/tests/reportWindows.test.ts
@@ -17,7 +17,7 @@
   const sent: UsageReport[] = [];
   const windowsWithLostAnswer = new Set<number>();
   const stop = new AbortController();
-  const store = { isAway: false };
+  const store = { isAway: false, readDelayMs: 0 };
 
   class FakeReports extends UsageReports {
     async send(report: UsageReport): Promise<ReportOutcome> {
@@ -30,7 +30,11 @@
   const write = async (record: CoordinationRecord) => {
     if (store.isAway) return 'not-written' as const;
     if (record.type === 'usage-close') usage.applyClose(record.window, record.counts);
-    if (record.type === 'usage-reported') usage.applyReported(record.window);
+    if (record.type === 'usage-reported') {
+      clock
+        .sleepUntil(clock.now() + store.readDelayMs)
+        .then(() => usage.applyReported(record.window));
+    }
     return 'written' as const;
   };
   const heartbeat = (host: string, counts: Heartbeat['usage'], countedThrough: number): void => {
@@ -72,7 +76,7 @@
     await clock.advance(durationMs);
     store.isAway = false;
   };
-  return { clock, members, sent, windowsWithLostAnswer, heartbeat, passOutage, end };
+  return { clock, members, store, sent, windowsWithLostAnswer, heartbeat, passOutage, end };
 };
 
 test('a report whose answer was lost is sent again with the same figures', async (t) => {
@@ -91,6 +95,21 @@
   await end();
 });
 
+test('a window is reported once by a host that reads its own record late', async (t) => {
+  // Guards against a report for each check until the host has read that it was taken.
+  const { clock, members, store, sent, heartbeat, end } = newParts();
+  store.readDelayMs = 3_000;
+  heartbeat('a', { 99: { museum: 2 } }, 99);
+  members.advanceView(clock.now());
+  await clock.advance(4_000);
+  t.deepEqual(
+    sent.map(({ window }) => window),
+    [...new Set(sent.map(({ window }) => window))],
+  );
+  t.true(sent.length > 0);
+  await end();
+});
+
 test('a window is closed once every live host has final counts for it', async (t) => {
   // The heartbeat with one host's final counts is late. A window closed without it would underbill.
   const { clock, sent, heartbeat, end } = newParts();
