A place that is taken as a request is about to start ends no host

Cause: p-queue asks for the size and runs what it dequeues; places change with time, so the queue could give nothing after it had counted a request, and the host ended. Change: a queue gives the request that it counted.

--- a/packages/routing/src/newFairQueuePolicy.ts
+++ b/packages/routing/src/newFairQueuePolicy.ts
@@ -120,6 +120,15 @@
     customerCounters.get(customerCounterName(left.priority, left.customer)) -
       customerCounters.get(customerCounterName(right.priority, right.customer));
 
+  /** The request that counted as startable when p-queue last asked for the size. */
+  let counted: Head | null = null;
+
+  /** Takes that request although its place may be gone by now: p-queue runs what it has counted. */
+  const dequeueCounted = (): QueuedRequest | undefined => {
+    const isQueued = counted !== null && findHead(counted.queue)?.ticket === counted.ticket;
+    return isQueued ? counted?.queue.requests.shift() : undefined;
+  };
+
   const dequeueFrom = (priority: string): QueuedRequest | undefined => {
     const [next] = findStartable(priority).sort(compareHeads);
     return next?.queue.requests.shift();
@@ -158,7 +167,7 @@
     }
 
     dequeue(): QueuedTask | undefined {
-      const taken = dequeueNext();
+      const taken = dequeueNext() ?? dequeueCounted();
       if (!taken) return undefined;
       removeQueued(taken.ticket);
       charge(taken.ticket, taken.ticket.cost);
@@ -181,11 +190,9 @@
      */
     get size(): number {
       if (queuedTotal === 0) return 0;
-      return classes.reduce(
-        (sum, priority) =>
-          findStartable(priority).reduce((count, { queue }) => count + queue.activeCount, sum),
-        0,
-      );
+      const startable = classes.flatMap(findStartable);
+      counted = startable[0] ?? null;
+      return startable.reduce((sum, { queue }) => sum + queue.activeCount, 0);
     }
   }
 
--- a/packages/routing/src/newFifoQueuePolicy.ts
+++ b/packages/routing/src/newFifoQueuePolicy.ts
@@ -18,13 +18,19 @@
     return queue.filter(({ ticket }) => mayStart(ticket));
   };
 
+  /**
+   * The request that counted as startable when p-queue last asked for the size. It starts although
+   * its place may be gone by now: p-queue runs what it has counted.
+   */
+  let counted: QueuedRequest | undefined;
+
   class FifoQueue implements Queue<QueuedTask, TicketOptions> {
     enqueue(run: QueuedTask, options?: Partial<TicketOptions>): void {
       queue.push({ ticket: requireTicket(options), run });
     }
 
     dequeue(): QueuedTask | undefined {
-      const [next] = eligible();
+      const next = eligible()[0] ?? counted;
       queue = queue.filter((request) => request !== next);
       return next?.run;
     }
@@ -38,7 +44,9 @@
     }
 
     get size(): number {
-      return eligible().length;
+      const startable = eligible();
+      [counted] = startable;
+      return startable.length;
     }
   }
 
