--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -1,5 +1,4 @@
 import type Clock from '@cyclamengate/common/Clock';
-import { describeHomes } from '@cyclamengate/common/homes';
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
@@ -14,17 +13,17 @@
 import type { Candidates } from '@cyclamengate/gateway/newCandidates';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
-import { pickService } from '@cyclamengate/gateway/findRoute';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { BatchOwner, Handover, ItemResult, Part, TextPlace } from './batchRecord.js';
 import type { EventReader } from './EventReader.js';
 import type { Batches } from './newBatches.js';
 import type { BatchState } from './newBatchState.js';
-import findFasterMoves, { hasFasterRoom } from './findFasterMoves.js';
 import newAssignment from './newAssignment.js';
 import newHandoverSender from './newHandoverSender.js';
 import newItemDescriber from './newItemDescriber.js';
 import newItemFinisher from './newItemFinisher.js';
+import newItemMover from './newItemMover.js';
+import newItemScopes from './newItemScopes.js';
 import type { ItemScorer } from './newItemScorer.js';
 import newPartSaver from './newPartSaver.js';
 import newTakeovers from './newTakeovers.js';
@@ -34,7 +33,6 @@
 import newRefusals from './newRefusals.js';
 import newRepeatCounter from './newRepeatCounter.js';
 import newReservations from './newReservations.js';
-import planMoves from './planMoves.js';
 import planStarts, { countFree } from './planStarts.js';
 import { meetsMinVersion, newProgress } from './progress.js';
 import newRunEndHandler from './newRunEndHandler.js';
@@ -46,10 +44,6 @@
 const IDLE_TICK_MS = 250;
 /** Bounds the text that is lost when a host dies: 20 events of 35 ms. */
 const SAVE_INTERVAL_MS = 700;
-/**
- * Minimum time between moves of an item, so that its new engine's pace is known: about 25 events.
- */
-const MIN_MOVE_INTERVAL_MS = 1_000;
 /** Of all models alike, so that engines of different models can be compared. */
 const EVENT_KIND = 'event';
 
@@ -95,14 +89,6 @@
   handOverTo: (handover: Handover) => Promise<string | null>;
 }
 
-/** Items and the upstreams on which they may run. */
-interface Scope {
-  key: string;
-  service: string;
-  homes: Homes;
-  list: ItemTask[];
-}
-
 /** Runs the items of the batches that are assigned to this host. */
 const newBatchRunner = (options: BatchRunnerOptions) => {
   const { clock, log, batches, client, candidates, health, loads, paces, scorer, write } = options;
@@ -138,7 +124,20 @@
     readSettings()?.routesByName.get(batch.route);
 
   const reservations = newReservations(clock);
+  const scopes = newItemScopes({ candidates, reservations, routeOf, homesOf });
   const describe = newItemDescriber({ clock, tasks, reservations, routeOf });
+  const mover = newItemMover({
+    clock,
+    tasks,
+    scopes,
+    describe,
+    reservations,
+    refusals,
+    candidates,
+    isListed,
+    routeOf,
+    mayWork,
+  });
 
   const handleRunEnd = newRunEndHandler({
     clock,
@@ -237,28 +236,9 @@
     return true;
   };
 
-  /** Groups items by the upstreams on which they may run. */
-  const groupByScope = (list: ItemTask[]): Scope[] => {
-    const scopes = new Map<string, Scope>();
-    list.forEach((task) => {
-      const route = routeOf(task.state);
-      const service = route && pickService(route, 0);
-      if (!service) return;
-      const homes = homesOf(task.state.batch);
-      const key = `${service} ${describeHomes(homes)}`;
-      const scope = scopes.get(key) ?? { key, service, homes, list: [] };
-      scope.list.push(task);
-      scopes.set(key, scope);
-    });
-    return [...scopes.values()];
-  };
-
-  const findCandidates = ({ service, homes }: Scope): Candidate[] =>
-    reservations.addTo(candidates(service, undefined, homes));
-
   const startWaiting = (waiting: ItemTask[]): void =>
-    groupByScope(waiting.filter((task) => !abandonExpired(task))).forEach((scope) => {
-      const current = findCandidates(scope);
+    scopes.group(waiting.filter((task) => !abandonExpired(task))).forEach((scope) => {
+      const current = scopes.findCandidates(scope);
       // Mostly all slots are taken, and describing the items would be wasted work.
       const hasRoom = current.some((candidate) => countFree(candidate) > 0);
       if (!hasRoom && !scope.list.some(({ key }) => reservations.find(key) !== null)) return;
@@ -288,52 +268,6 @@
     startWaiting(tasks.waiting().filter(({ state }) => mayWork(state)));
   };
 
-  const findMovable = (): ItemTask[] =>
-    tasks.running().filter(({ movedAt }) => clock.now() > movedAt + MIN_MOVE_INTERVAL_MS);
-
-  const move = (task: ItemTask): void => {
-    task.movedAt = clock.now();
-    task.runController?.abort('moved to a faster engine');
-  };
-
-  const moveRunning = (): void => {
-    const running = findMovable().map((task) => ({
-      key: task.key,
-      upstream: task.upstream ?? '',
-      expectedTokens: tasks.expectedTokens(task),
-      service: routeOf(task.state)?.splits[0]?.service ?? '',
-    }));
-    planMoves(running, candidates, isListed).forEach(({ key }) => {
-      const task = tasks.get(key);
-      if (task) move(task);
-    });
-  };
-
-  /** Before waiting items start, so that a long item that runs may get the last fast slot. */
-  const moveToFaster = (): void => {
-    const waitingScopes = groupByScope(tasks.waiting());
-    // On a view that is not current a moved item could not start again.
-    const movable = findMovable().filter(({ state }) => mayWork(state));
-    groupByScope(movable).forEach((scope) => {
-      const current = findCandidates(scope);
-      if (!hasFasterRoom(current)) return;
-      const running = describe(scope.list, current).map((item) => ({
-        ...item,
-        upstream: tasks.get(item.key)?.upstream ?? '',
-      }));
-      const rivals = waitingScopes.find(({ key }) => key === scope.key)?.list ?? [];
-      const waiting = describe(rivals, current);
-      findFasterMoves(clock.wallTime(), running, waiting, current, refusals.isRefusing).forEach(
-        ({ key, target }) => {
-          const task = tasks.get(key);
-          if (!task) return;
-          reservations.reserve(key, target);
-          move(task);
-        },
-      );
-    });
-  };
-
   const saveParts = (): void => {
     if (clock.now() < nextSaveAt) return;
     nextSaveAt = clock.now() + SAVE_INTERVAL_MS;
@@ -346,9 +280,10 @@
       .open()
       .filter((state) => isAssigned(state) && requests.isLoaded(state));
     tasks.reconcile(assigned);
-    moveToFaster();
+    // First, so that a long item that runs may get the last fast slot before waiting ones start.
+    mover.moveToFaster();
     startWork();
-    moveRunning();
+    mover.moveAway();
     saveParts();
   };
 
--- a/scripts/ablate.js
+++ b/scripts/ablate.js
@@ -20,7 +20,7 @@
     'request.isIdempotent && running.size === 1 && newestCandidate !== null',
     'false as boolean',
   ],
-  moves: ['packages/batches/src/newBatchRunner.ts', '    moveRunning();\n', ''],
+  moves: ['packages/batches/src/newBatchRunner.ts', '    mover.moveAway();\n', ''],
   'texts written on the way': ['packages/batches/src/newBatchRunner.ts', '    saveParts();\n', ''],
   'batches kept through others': [
     'packages/batches/src/newBatchWriter.ts',
@@ -84,7 +84,7 @@
   ],
   'moves to faster engines': [
     'packages/batches/src/newBatchRunner.ts',
-    '    moveToFaster();\n',
+    '    mover.moveToFaster();\n',
     '',
   ],
   resting: [
