--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -88,25 +88,16 @@
       cancel: (digest) => trials.cancel(digest),
     },
   });
+  const upstreamState = { regions, directory, evacuations, coldLimits, health, loads };
   const candidates = newCandidates({
-    regions,
-    directory,
-    evacuations,
-    coldLimits,
-    health,
-    loads,
+    ...upstreamState,
     paces,
     failureDomain,
     isConnected: (entry) => client.isConnected(entry),
   });
   const placeReader = newPlaceReader({
+    ...upstreamState,
     clock,
-    regions,
-    directory,
-    evacuations,
-    coldLimits,
-    health,
-    loads,
     reservedPart: shares.reservedPart,
   });
   const admissions = newPlainAdmissions({
--- a/packages/gateway/src/newAdmittedRelay.ts
+++ b/packages/gateway/src/newAdmittedRelay.ts
@@ -1,7 +1,8 @@
-import type { PlainRelay, RelayOutcome } from './newPlainRelay.js';
+import type { PlainRelay } from './newPlainRelay.js';
 import type { RelayedRequest } from './newPlainAttempt.js';
 import type { PlainAdmissions } from './newPlainAdmissions.js';
 import type { Work } from './newServiceAdmission.js';
+import type { RelayOutcome } from './relayOutcome.js';
 import type { WorkClass } from './workClasses.js';
 
 /** Relays callers' requests once they have a place; refuses at once what can't be done in time. */
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -10,7 +10,8 @@
   RelayedRequest,
 } from './newPlainAttempt.js';
 import { notRunRefusal, uncertain, withRetryAt } from './refusal.js';
-import type { Refusal } from './refusal.js';
+import { answered } from './relayOutcome.js';
+import type { RelayOutcome } from './relayOutcome.js';
 
 /** A hedged request is sent after this multiple of the time that its kind takes at the upstream. */
 const HEDGE_TIME_FACTOR = 2.5;
@@ -22,18 +23,6 @@
  */
 const REDUNDANT_ATTEMPT_GRACE_MS = 300;
 
-export type RelayOutcome =
-  | {
-      type: 'answer';
-      answer: CompleteAnswer;
-      upstream: string;
-      /** Pace of the upstream when it was chosen. */
-      pace: number;
-      upstreams: number;
-    }
-  /** `hasRun` is true if the request may have run at an upstream. */
-  | { type: 'refusal'; refusal: Refusal; hasRun: boolean; upstreams: number };
-
 export interface PlainRelayOptions extends PlainAttemptOptions {
   log: EventLog;
   candidates: Candidates;
@@ -121,31 +110,23 @@
       return outcome;
     };
 
-    const answered = (answer: CompleteAnswer, { entry, pace }: Candidate): RelayOutcome => ({
-      type: 'answer',
-      answer,
-      upstream: entry.id,
-      pace,
-      upstreams: tried.size,
-    });
-
     const mayStart = (): boolean =>
       attempts < request.maxUpstreams &&
       (request.isIdempotent || !hasRun) &&
       heldUntil === null &&
       !signal.aborted;
 
+    const chooseExcept = (excluded: ReadonlySet<string>): Candidate | null =>
+      chooseUpstream(candidates(request.service, excluded, request.homes), random);
+
+    /** Crowded upstreams come after the others, and those that broke off an answer last. */
     const chooseNext = (): Candidate | null => {
-      const spared = request.crowded?.size ? new Set([...tried, ...request.crowded]) : tried;
-      const uncrowded =
-        spared === tried
-          ? null
-          : chooseUpstream(candidates(request.service, spared, request.homes), random);
+      const { crowded } = request;
+      const uncrowded = crowded?.size ? chooseExcept(new Set([...tried, ...crowded])) : null;
       if (uncrowded) return uncrowded;
-      const untried = chooseUpstream(candidates(request.service, tried, request.homes), random);
+      const untried = chooseExcept(tried);
       if (untried || broken.size === 0) return untried;
-      const others = new Set([...tried].filter((id) => !broken.has(id)));
-      return chooseUpstream(candidates(request.service, others, request.homes), random);
+      return chooseExcept(new Set([...tried].filter((id) => !broken.has(id))));
     };
 
     const startNext = (): Candidate | null => {
@@ -189,7 +170,7 @@
         const { result, candidate } = first;
         if (result.type === 'answer') {
           if (isFinal(result) || !mayStart()) {
-            return finish(answered(result.answer, candidate));
+            return finish(answered(result.answer, candidate, tried.size));
           }
           hasRun = true;
           lastFailure = { answer: result.answer, candidate };
@@ -206,7 +187,9 @@
         if (running.size === 0) newestCandidate = startNext();
       }
     }
-    if (lastFailure) return finish(answered(lastFailure.answer, lastFailure.candidate));
+    if (lastFailure) {
+      return finish(answered(lastFailure.answer, lastFailure.candidate, tried.size));
+    }
     const isPastDeadline = clock.now() >= request.deadline - TIMER_SLACK_MS;
     // A request that ended upstreams must not come back before every host knows of it.
     const refusal = hasRun
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -12,9 +12,10 @@
 import type { UpstreamAnswer } from '@cyclamengate/engines/UpstreamClient';
 import type { Candidates } from './newCandidates.js';
 import newEventSplitter from './newEventSplitter.js';
-import type { CompleteAnswer, RelayedRequest } from './newPlainAttempt.js';
-import type { RelayOutcome } from './newPlainRelay.js';
+import type { RelayedRequest } from './newPlainAttempt.js';
 import readAnswerBody from './readAnswerBody.js';
+import { answered } from './relayOutcome.js';
+import type { RelayOutcome } from './relayOutcome.js';
 import { notRunRefusal, uncertain, withRetryAt } from './refusal.js';
 
 /** Timeout for an upstream's first byte; callers of streams disconnect after 2 s. */
@@ -129,14 +130,6 @@
       }
     };
 
-    const answered = (answer: CompleteAnswer, { entry, pace }: Candidate): RelayOutcome => ({
-      type: 'answer',
-      answer,
-      upstream: entry.id,
-      pace,
-      upstreams: tried.size,
-    });
-
     const mayStart = (): boolean =>
       !signal.aborted &&
       heldUntil === null &&
@@ -164,7 +157,7 @@
         response.end();
         health.recordSuccess(next.entry.id);
         const answer = { status: 200, headers: {}, signature: null, body: Buffer.alloc(0) };
-        return answered(answer, next);
+        return answered(answer, next, tried.size);
       }
       hasRun = hasRun || end === 'broken' || end === 'failed';
       log.info('stream.run-ended', {
@@ -181,7 +174,7 @@
     if (failed && !response.headersSent) {
       const { status, headers, signature } = failed.answer;
       const answer = { status, headers, signature, body: failed.body };
-      return answered(answer, failed.candidate);
+      return answered(answer, failed.candidate, upstreams);
     }
     const refusal = hasRun
       ? withRetryAt(
--- a/packages/gateway/tests/newPlainHosts.ts
+++ b/packages/gateway/tests/newPlainHosts.ts
@@ -5,7 +5,7 @@
 import newPlaceReader from '../src/newPlaceReader.js';
 import newPlainAdmissions from '../src/newPlainAdmissions.js';
 import newPlainRelay from '../src/newPlainRelay.js';
-import type { RelayOutcome } from '../src/newPlainRelay.js';
+import type { RelayOutcome } from '../src/relayOutcome.js';
 import type { ShareSettings } from '../src/newServicePlaces.js';
 import newSettingsView from '../src/newSettingsView.js';
 import type { WorkClass } from '../src/workClasses.js';
--- a/packages/gateway/tests/newStreamRelay.test.ts
+++ b/packages/gateway/tests/newStreamRelay.test.ts
@@ -7,7 +7,7 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import type { RelayedRequest } from '../src/newPlainAttempt.js';
-import type { RelayOutcome } from '../src/newPlainRelay.js';
+import type { RelayOutcome } from '../src/relayOutcome.js';
 import newStreamRelay from '../src/newStreamRelay.js';
 import { answering, holding, newRequest, newUpstreams, silentLog } from './helpers.js';
 import type { Behaviour } from './helpers.js';
