--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -23,6 +23,7 @@
 import newItemDescriber from './newItemDescriber.js';
 import newItemFinisher from './newItemFinisher.js';
 import newItemMover from './newItemMover.js';
+import newItemRequest from './newItemRequest.js';
 import newItemScopes from './newItemScopes.js';
 import type { ItemScorer } from './newItemScorer.js';
 import newPartSaver from './newPartSaver.js';
@@ -191,26 +192,13 @@
       lastEventId: progress.lastEventId,
       run: task.runs,
     });
-    const retentionMs = route?.retentionMs ?? 0;
-    const age = clock.wallTime() - batch.acceptedAt;
     const end = await runOnce({
       clock,
       client,
       newEventReader,
       entry,
       progress,
-      request: {
-        requestId: item.id,
-        method: 'POST',
-        path: item.path,
-        hostName: batch.hostName,
-        headers: item.headers,
-        priority: route?.priority ?? null,
-        body: Buffer.from(item.body, 'base64'),
-        customer: batch.customer,
-        deadline: retentionMs > 0 ? clock.now() + Math.max(1, retentionMs - age) : null,
-        lastEventId: progress.lastEventId,
-      },
+      request: newItemRequest(clock, task, route),
       isVersionAllowed: (version) =>
         version >= batch.leastVersion &&
         (!isSingleVersion || progress.versions.every((other) => other === version)),
