--- a/packages/engines/tests/demand.test.ts
+++ b/packages/engines/tests/demand.test.ts
@@ -98,6 +98,7 @@
 });
 
 test('the loss of an engine moves little more than its model', (t) => {
+  // Guards against a round of loads on all engines whenever one is lost.
   let gained = 0;
   let losses = 0;
   fleets(44).forEach((engines) => {
@@ -116,6 +117,7 @@
 });
 
 test('a changed demand moves only the difference', (t) => {
+  // Guards against a round of loads on all engines whenever a trainer asks for more or less.
   let gained = 0;
   fleets(44).forEach((engines) => {
     const before = assignEngines(unequal, engines);
--- a/packages/engines/tests/pace.load.test.ts
+++ b/packages/engines/tests/pace.load.test.ts
@@ -40,6 +40,18 @@
   return { sent, meanMs, p95: quantile(lookups, 0.95), p99: quantile(lookups, 0.99) };
 };
 
+/** Plays two hosts until a time; @returns the part of their calls that the first upstream got. */
+const newShareOfFirst =
+  (play: ReturnType<typeof newPlay>) =>
+  (untilMs: number): number => {
+    const sent: string[] = [];
+    while (play.clock.now() < untilMs) {
+      sent.push(...sendCalls(play, 2, 0.2));
+      play.step();
+    }
+    return sent.filter((id) => id === 'upstream-0').length / sent.length;
+  };
+
 const ignorePace = () => ({ pace: 1, lastingPace: 1 });
 
 test('short calls do not pile up at the fast upstreams', (t) => {
@@ -73,14 +85,7 @@
     slots: 6,
     hosts: 2,
   });
-  const shareOfFirst = (untilMs: number): number => {
-    const sent: string[] = [];
-    while (play.clock.now() < untilMs) {
-      sent.push(...sendCalls(play, 2, 0.2));
-      play.step();
-    }
-    return sent.filter((id) => id === 'upstream-0').length / sent.length;
-  };
+  const shareOfFirst = newShareOfFirst(play);
   shareOfFirst(5_050);
   const whileNoisy = shareOfFirst(5_500);
   shareOfFirst(6_500);
@@ -95,14 +100,7 @@
   const isSlow = (now: number): boolean => now >= 3_000 && now < 11_000;
   const upstreams = newUpstreams(4, (index) => (now) => (index === 0 && isSlow(now) ? 4 : 1));
   const play = newPlay({ upstreams, slots: 6, hosts: 2 });
-  const shareOfFirst = (untilMs: number): number => {
-    const sent: string[] = [];
-    while (play.clock.now() < untilMs) {
-      sent.push(...sendCalls(play, 2, 0.2));
-      play.step();
-    }
-    return sent.filter((id) => id === 'upstream-0').length / sent.length;
-  };
+  const shareOfFirst = newShareOfFirst(play);
   shareOfFirst(5_000);
   const whileSlow = shareOfFirst(11_000);
   shareOfFirst(21_000);
--- a/packages/gateway/tests/scarcity.load.test.ts
+++ b/packages/gateway/tests/scarcity.load.test.ts
@@ -124,6 +124,7 @@
 });
 
 test('a caller that leaves while it waits is removed and never sent', async (t) => {
+  // Guards against work for callers that have gone.
   const clock = newManualClock();
   const system = newPlainHosts(clock, 1);
   const host = system.newHost('a');
