--- a/packages/engines/src/chooseUpstream.ts
+++ b/packages/engines/src/chooseUpstream.ts
@@ -47,9 +47,9 @@
 
 /**
  * Chooses the upstream on which a request is likely to finish first: the one with the lowest
- * utilization, weighted by its pace. A fast upstream is preferred while it has a free slot. Upstreams in back-off
- * are chosen only if there are no others, so that a service is never left without upstreams; cold
- * ones at their limit never are.
+ * utilization, weighted by its pace. A fast upstream is preferred while it has a free slot.
+ * Upstreams in back-off are chosen only if there are no others, so that a service is never left
+ * without upstreams; cold ones at their limit never are.
  */
 const chooseUpstream = (
   candidates: Candidate[],
--- a/packages/engines/src/computeLastingPaces.ts
+++ b/packages/engines/src/computeLastingPaces.ts
@@ -63,7 +63,7 @@
   if (samples.length < MIN_SAMPLES) return null;
   const kindMedians = findKindMedians(samples);
   if (kindMedians.size === 1) {
-    // As below, without sorting again.
+    // With one kind, the median of the ratios below is the ratio of medians that are known.
     const [[kind, durationMs] = ['', 0]] = kindMedians;
     const usualMs = usualTimes.get(kind);
     return usualMs === undefined ? null : durationMs / usualMs;
--- a/packages/engines/src/newLoads.ts
+++ b/packages/engines/src/newLoads.ts
@@ -17,8 +17,10 @@
 /** The newest load report of an upstream. */
 export interface LoadReport {
   load: ReportedLoad;
+  /** This host's requests there when the report came. */
   localAtReport: number;
   reportedAt: number;
+  /** The report is stale after this time. */
   deadline: number;
 }
 
@@ -30,8 +32,7 @@
 
   const countLocal = (id: string): number => localCounts.get(id) ?? 0;
 
-  const ageOf = ({ deadline }: { deadline: number }): number =>
-    clock.now() - (deadline - REPORT_TTL_MS);
+  const ageOf = ({ reportedAt }: LoadReport): number => clock.now() - reportedAt;
 
   const estimate = (id: string): number => {
     const report = reports.get(id);
--- a/packages/engines/src/newPaces.ts
+++ b/packages/engines/src/newPaces.ts
@@ -183,6 +183,7 @@
     /**
      * @param kind units of one kind take the same time on upstreams of equal pace
      * @param durationMs time of one unit of work: one event of a stream, or a complete plain call
+     * @param isQueued whether it may have waited for a slot of the upstream
      */
     record: (entry: UpstreamEntry, kind: string, durationMs: number, isQueued = false): void => {
       kindTimes.record(scopeOf(entry, kind), durationMs);
--- a/packages/routing/src/newAdmissionQueue.ts
+++ b/packages/routing/src/newAdmissionQueue.ts
@@ -63,6 +63,7 @@
     return queuePolicy.countQueued() > yielding;
   };
 
+  /** Time between two moments at which a place becomes free for such a request. */
   const computeIntervalMs = (ticket: Ticket): number =>
     expectHoldMs(ticket.priority) / places.count(ticket);
 
@@ -121,6 +122,7 @@
 
   /** Starts what may start; called when places may have become free elsewhere. */
   const refresh = (): void => {
+    // p-queue looks for what may start whenever its concurrency is set.
     queue.concurrency = Number.POSITIVE_INFINITY;
   };
 
--- a/packages/routing/src/ticket.ts
+++ b/packages/routing/src/ticket.ts
@@ -3,7 +3,7 @@
   customer: string;
   /** Class of work; the classes and their shares are given to the queue. */
   priority: string;
-  /** Estimated cost, in tokens or in requests. */
+  /** Estimated cost, in a unit of the queue: tokens, or milliseconds in a place. */
   cost: number;
   /** Time by which the request must have started, on the monotonic clock; infinite for none. */
   deadline: number;
--- a/scripts/hostCost.js
+++ b/scripts/hostCost.js
@@ -8,7 +8,7 @@
  * on the machine changes processor time too; the least of the rounds says most.
  *
  * The stand-in of the platform is fed as by a fleet: each host's heartbeats and each upstream's entries
- * at their own intervals, after a history of half a day. Calls to the other hosts are answered by one.
+ * at their own intervals, after a history of some seconds. Calls to the other hosts are answered by one.
  */
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
