--- a/packages/engines/src/newEngineAssigner.ts
+++ b/packages/engines/src/newEngineAssigner.ts
@@ -1,5 +1,5 @@
 import assignEngines from './assignEngines.js';
-import type { EngineAssignments } from './assignEngines.js';
+import type { EngineAssignments } from './newAssignmentDraft.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 import classifyPace, { NOMINAL_PACES } from './classifyPace.js';
 
--- a/packages/engines/tests/demand.test.ts
+++ b/packages/engines/tests/demand.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import type { ModelDemand } from '../src/apportionEngines.js';
 import assignEngines from '../src/assignEngines.js';
-import type { AssignableEngine, EngineAssignments } from '../src/assignEngines.js';
+import type { AssignableEngine, EngineAssignments } from '../src/newAssignmentDraft.js';
 import newEngineAssigner from '../src/newEngineAssigner.js';
 import { newEngine, newEntry, newEqualDemands } from './helpers.js';
 
--- a/packages/engines/tests/helpers.ts
+++ b/packages/engines/tests/helpers.ts
@@ -1,6 +1,6 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { ModelDemand } from '../src/apportionEngines.js';
-import type { AssignableEngine } from '../src/assignEngines.js';
+import type { AssignableEngine } from '../src/newAssignmentDraft.js';
 import type { UpstreamEntry } from '../src/upstreamEntry.js';
 
 export const silentLog: EventLog = { info: () => {}, warn: () => {}, error: () => {} };
