--- a/packages/batches/tests/newLengths.ts
+++ b/packages/batches/tests/newLengths.ts
@@ -1,24 +1,17 @@
+import newSeededRandom from '@cyclamengate/fakes/newSeededRandom';
+
 /** Fraction of the items that are several times as long. */
 const LONG_FRACTION = 1 / 12;
 const LONG_FACTOR = 5;
 const MAX_TOKENS = 9_450;
 const SPREAD = 0.6;
 
-const MODULUS = 2_147_483_647;
-const MULTIPLIER = 48_271;
-
-/** Numbers of a seed that look random (minimal standard generator). */
-const newRandom = (seed: number): (() => number) => {
-  let state = (seed * 7_919) % MODULUS;
-  return () => {
-    state = (state * MULTIPLIER) % MODULUS;
-    return state / MODULUS;
-  };
-};
+/** Small seeds next to each other would begin with alike numbers. */
+const SEED_FACTOR = 7_919;
 
 /** Draws lengths of items: lognormal, with a heavy tail. */
 const newLengths = (seed: number) => {
-  const random = newRandom(seed);
+  const random = newSeededRandom(seed * SEED_FACTOR);
   const drawNormal = (): number =>
     Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
   const spread = (): number => Math.exp(SPREAD * drawNormal());
--- a/packages/engines/tests/newPlay.ts
+++ b/packages/engines/tests/newPlay.ts
@@ -1,4 +1,5 @@
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import newSeededRandom from '@cyclamengate/fakes/newSeededRandom';
 import chooseUpstream from '../src/chooseUpstream.js';
 import newLoads from '../src/newLoads.js';
 import newPaces from '../src/newPaces.js';
@@ -32,19 +33,10 @@
   describe?: (pace: UpstreamPace) => UpstreamPace;
 }
 
-/** Numbers from 0 to 1, the same in each run. */
-export const newSequence = (): (() => number) => {
-  let state = 7;
-  return () => {
-    state = (state * 48_271) % 2_147_483_647;
-    return state / 2_147_483_647;
-  };
-};
-
 /** Plays hosts that send calls to upstreams with slots and queues, in steps of a millisecond. */
 const newPlay = ({ upstreams, slots, hosts, describe = (pace) => pace }: PlayOptions) => {
   const clock = newManualClock();
-  const random = newSequence();
+  const random = newSeededRandom(7);
   const entries = new Map(upstreams.map(({ id }) => [id, newEntry(id, { slots })]));
   const states = new Map(
     upstreams.map((upstream) => [
--- a/packages/gateway/tests/newPlainHosts.ts
+++ b/packages/gateway/tests/newPlainHosts.ts
@@ -1,6 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import newMetrics from '@cyclamengate/common/newMetrics';
+import newSeededRandom from '@cyclamengate/fakes/newSeededRandom';
 import newAdmittedRelay from '../src/newAdmittedRelay.js';
 import newPlaceReader from '../src/newPlaceReader.js';
 import newPlainAdmissions from '../src/newPlainAdmissions.js';
@@ -16,15 +17,6 @@
 const SHARES: ShareSettings = { reservedPart: 0.25, floorPart: 0.05, maxWaiting: 512 };
 export const neverAborted: AbortSignal = new AbortController().signal;
 
-/** The same numbers in each run, from 0 to below 1. */
-const newSeededRandom = (seed: number) => {
-  let state = seed;
-  return (): number => {
-    state = (state * 48_271) % 2_147_483_647;
-    return state / 2_147_483_647;
-  };
-};
-
 /** An upstream with some slots and a queue; the path of a request ends with its work in milliseconds. */
 const newSlotUpstream = (clock: Clock) => {
   const waiting: (() => void)[] = [];
