--- a/packages/gateway/src/newPlaceReader.ts
+++ b/packages/gateway/src/newPlaceReader.ts
@@ -6,6 +6,7 @@
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
 import type { CandidateOptions } from './newCandidates.js';
+import newTimedCache from './newTimedCache.js';
 
 /** The relay reads the list itself; a stale one here only misjudges the number of places. */
 const LIST_TTL_MS = 50;
@@ -29,11 +30,6 @@
   reportAgeMs: number | null;
 }
 
-interface Cached<T> {
-  value: T;
-  validUntil: number;
-}
-
 export interface PlaceReaderOptions extends Pick<
   CandidateOptions,
   'regions' | 'directory' | 'evacuations' | 'coldLimits'
@@ -50,24 +46,22 @@
   const { clock, regions, directory, evacuations, coldLimits, health, loads } = options;
   const { reservedPart } = options;
   const homesByPool = new Map<string, Homes>();
-  const lists = new Map<string, Cached<UpstreamEntry[]>>();
+  const lists = newTimedCache<UpstreamEntry[]>(clock, LIST_TTL_MS);
   const peaks = new Map<string, SlidingMaximum>();
-  const counts = new Map<string, Cached<PlaceCount>>();
+  const counts = newTimedCache<PlaceCount>(clock, COUNT_TTL_MS);
 
-  const list = (service: string, pool: string): UpstreamEntry[] => {
-    const key = `${service}\n${pool}`;
-    const cached = lists.get(key);
-    if (cached && clock.now() < cached.validUntil) return cached.value;
+  const findListed = (service: string, pool: string): UpstreamEntry[] => {
     const homes = homesByPool.get(pool) ?? null;
-    const value = directory
+    return directory
       .all(service)
       .filter(({ isDraining }) => !isDraining)
       .filter((entry) => isInHomes(homes, entry.failureDomain, regions))
       .filter((entry) => !evacuations.isEvacuated(entry.failureDomain));
-    lists.set(key, { value, validUntil: clock.now() + LIST_TTL_MS });
-    return value;
   };
 
+  const list = (service: string, pool: string): UpstreamEntry[] =>
+    lists.getOrCompute(`${service}\n${pool}`, () => findListed(service, pool));
+
   const isStartable = (entry: UpstreamEntry): boolean => coldLimits.remaining(entry) > 0;
 
   /**
@@ -115,14 +109,8 @@
     };
   };
 
-  const count = (service: string, pool: string): PlaceCount => {
-    const key = `${service}\n${pool}`;
-    const cached = counts.get(key);
-    if (cached && clock.now() < cached.validUntil) return cached.value;
-    const value = compute(service, pool);
-    counts.set(key, { value, validUntil: clock.now() + COUNT_TTL_MS });
-    return value;
-  };
+  const count = (service: string, pool: string): PlaceCount =>
+    counts.getOrCompute(`${service}\n${pool}`, () => compute(service, pool));
 
   return {
     /** The name of the upstreams that work with these homes may use. */
