--- a/packages/batches/src/findFasterMoves.ts
+++ b/packages/batches/src/findFasterMoves.ts
@@ -1,7 +1,8 @@
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
+import { countFree, mayRun } from './engineRoom.js';
+import type { RefusalCheck, VersionNeeds } from './engineRoom.js';
 import { estimateRunMs } from './expectedTimes.js';
-import { countFree, mayRun } from './planStarts.js';
-import type { RefusalCheck, VersionNeeds, WaitingItem } from './planStarts.js';
+import type { WaitingItem } from './planStarts.js';
 
 /** A running item that may move to a faster engine. */
 export interface MovableItem extends VersionNeeds {
