--- a/scripts/ablate.js
+++ b/scripts/ablate.js
@@ -17,7 +17,7 @@
 const MECHANISMS = {
   hedging: [
     'packages/gateway/src/newPlainRelay.ts',
-    'request.isIdempotent && running.size === 1 && newestCandidate !== null',
+    'request.isIdempotent && !hasRun && running.size === 1 && newestCandidate !== null',
     'false as boolean',
   ],
   moves: ['packages/batches/src/newBatchRunner.ts', '    mover.moveAway();\n', ''],
