--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -6,9 +6,6 @@
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { Paces } from '@cyclamengate/engines/newPaces';
-import roundPace from '@cyclamengate/engines/roundPace';
-import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
-import { getLoadedVersion } from '@cyclamengate/engines/upstreamEntry';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { Candidates } from '@cyclamengate/gateway/newCandidates';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
@@ -24,7 +21,7 @@
 import newItemDescriber from './newItemDescriber.js';
 import newItemFinisher from './newItemFinisher.js';
 import newItemMover from './newItemMover.js';
-import newItemRequest from './newItemRequest.js';
+import newItemRunner from './newItemRunner.js';
 import newItemScopes from './newItemScopes.js';
 import type { ItemScorer } from './newItemScorer.js';
 import newPartSaver from './newPartSaver.js';
@@ -36,9 +33,6 @@
 import newRepeatCounter from './newRepeatCounter.js';
 import newReservations from './newReservations.js';
 import planStarts from './planStarts.js';
-import { meetsMinVersion, newProgress } from './progress.js';
-import newRunEndHandler from './newRunEndHandler.js';
-import runOnce from './runOnce.js';
 
 /** Interval at which waiting and running items are checked, in addition to each change. */
 const TICK_MS = 40;
@@ -46,9 +40,6 @@
 const IDLE_TICK_MS = 250;
 /** Bounds the text that is lost when a host dies: 20 events of 35 ms. */
 const SAVE_INTERVAL_MS = 700;
-/** Of all models alike, so that engines of different models can be compared. */
-const EVENT_KIND = 'event';
-
 export interface BatchRunnerOptions {
   clock: Clock;
   log: EventLog;
@@ -109,7 +100,6 @@
   const takeovers = newTakeovers({ clock, isOwner, readParts });
   const isAssigned = newAssignment({ ...options, takeovers });
   const refusals = newRefusals(clock);
-  const repeats = newRepeatCounter(options.metrics);
   const notifier = newNotifier(clock);
   const handOver = newHandoverSender({
     log,
@@ -141,79 +131,23 @@
     mayWork,
   });
 
-  const handleRunEnd = newRunEndHandler({
+  const runItem = newItemRunner({
     clock,
     log,
+    client,
+    newEventReader,
     health,
+    loads,
+    paces,
     refusals,
-    repeats,
+    reservations,
+    repeats: newRepeatCounter(options.metrics),
+    notifier,
     routeOf,
     abandon,
     score,
-    notifier,
   });
 
-  /**
-   * Discards text that mixes versions where that is not allowed, or that is too old; it is
-   * generated again.
-   */
-  const discardUnusable = (task: ItemTask, isSingleVersion: boolean): void => {
-    const { progress, state } = task;
-    const isMixed = isSingleVersion && progress.versions.length > 1;
-    if (!isMixed && meetsMinVersion(progress, state.batch.leastVersion)) return;
-    repeats.countDiscarded(progress.events.length);
-    task.progress = newProgress();
-    task.savedEvents = 0;
-    task.isCompletionSaved = false;
-  };
-
-  const start = async (task: ItemTask, { entry, pace }: Candidate): Promise<void> => {
-    const { state, item } = task;
-    const { batch } = state;
-    const route = routeOf(state);
-    const isSingleVersion = route?.isSingleVersion ?? false;
-    const runController = new AbortController();
-    task.phase = 'running';
-    task.upstream = entry.id;
-    task.runController = runController;
-    task.runs += 1;
-    reservations.release(task.key);
-    loads.begin(entry.id);
-    const { progress } = task;
-    const isContinued = task.runs === 1 && !task.isCarriedOver && progress.events.length > 0;
-    if (isContinued) repeats.countRun('host_change', progress.events.length);
-    log.info('item.started', {
-      requestId: item.id,
-      batch: batch.id,
-      upstream: entry.id,
-      load: loads.estimate(entry.id),
-      slots: entry.slots,
-      pace: roundPace(pace),
-      version: batch.model === null ? null : getLoadedVersion(entry, batch.model),
-      lastEventId: progress.lastEventId,
-      run: task.runs,
-    });
-    const end = await runOnce({
-      clock,
-      client,
-      newEventReader,
-      entry,
-      progress,
-      request: newItemRequest(clock, task, route),
-      isVersionAllowed: (version) =>
-        version >= batch.leastVersion &&
-        (!isSingleVersion || progress.versions.every((other) => other === version)),
-      onEvent: (gapMs) => paces.record(entry, EVENT_KIND, gapMs),
-      onLoad: (load) => loads.report(entry.id, load),
-      onAccepted: () => refusals.clear(entry.id, batch.model),
-      signal: AbortSignal.any([task.controller.signal, runController.signal]),
-    });
-    loads.end(entry.id);
-    task.upstream = null;
-    if (end.type !== 'whole') discardUnusable(task, isSingleVersion);
-    await handleRunEnd(task, entry.id, end);
-  };
-
   const isExpired = ({ batch }: BatchState, route: Route | undefined): boolean => {
     const retentionMs = route?.retentionMs ?? 0;
     return retentionMs > 0 && clock.wallTime() > batch.acceptedAt + retentionMs;
@@ -235,7 +169,7 @@
         ({ key, candidate }) => {
           const task = tasks.get(key);
           const isAllowed = task && refusals.mayStart(candidate.entry.id, task.state.batch.model);
-          if (isAllowed) start(task, candidate);
+          if (isAllowed) runItem(task, candidate);
         },
       );
     });
