--- a/packages/engines/tests/demand.test.ts
+++ b/packages/engines/tests/demand.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import type { ModelDemand } from '../src/apportionEngines.js';
 import assignEngines from '../src/assignEngines.js';
-import type { AssignableEngine, EngineAssignments } from '../src/assignEngines.js';
+import type { AssignableEngine, EngineAssignments } from '../src/newAssignmentDraft.js';
 import newEngineAssigner from '../src/newEngineAssigner.js';
 import { newEngine, newEntry, newEqualDemands } from './helpers.js';
 
@@ -98,6 +98,7 @@
 });
 
 test('the loss of an engine moves little more than its model', (t) => {
+  // Guards against a round of loads on all engines whenever one is lost.
   let gained = 0;
   let losses = 0;
   fleets(44).forEach((engines) => {
@@ -116,6 +117,7 @@
 });
 
 test('a changed demand moves only the difference', (t) => {
+  // Guards against a round of loads on all engines whenever a trainer asks for more or less.
   let gained = 0;
   fleets(44).forEach((engines) => {
     const before = assignEngines(unequal, engines);
