A customer's waiting scoring calls do not count against its own requests

Cause: found in the read-through: the limit of a customer's waiting requests summed over all classes, so a large batch could have its customer's lookups refused as too many. Change: work of the yielding class counts apart.

--- a/packages/routing/src/newAdmissionQueue.ts
+++ b/packages/routing/src/newAdmissionQueue.ts
@@ -79,9 +79,21 @@
   const refuse = (code: Refusal['code'], message: string, ticket: Ticket, waitMs: number) =>
     notRun(code, message, computeRetryAt(ticket, waitMs));
 
+  /**
+   * Waiting requests that count against a customer's limit. Work of the yielding class counts apart:
+   * a large batch would otherwise have its customer's own calls refused.
+   */
+  const countOwnQueued = ({ customer, priority }: Ticket): number => {
+    if (yieldingClass === null) return queuePolicy.countQueuedAhead(customer);
+    return queuePolicy
+      .listQueued()
+      .filter((queued) => queued.customer === customer && kindOf(queued) === kindOf({ priority }))
+      .reduce((sum, { count }) => sum + count, 0);
+  };
+
   const findRefusal = (ticket: Ticket): Refusal | null => {
     const waitMs = estimateWaitMs(ticket);
-    if (queuePolicy.countQueuedAhead(ticket.customer) >= getMaxQueued(ticket.customer)) {
+    if (countOwnQueued(ticket) >= getMaxQueued(ticket.customer)) {
       return refuse('queue-full', 'too many requests of this customer wait', ticket, waitMs);
     }
     if (waitMs === 0 || !places.isAvailable()) return null;
