Among engines that are alike items start by age, as before

Change: that order is used only where some engines are fast; else the oldest batch goes first, its groups that were sent again, the longest item. The test of late groups plays unequal engines; what it checks stays.

--- a/packages/batches/src/newItemDescriber.ts
+++ b/packages/batches/src/newItemDescriber.ts
@@ -1,5 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
+import classifyPace from '@cyclamengate/engines/classifyPace';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
 import { estimateRunMs, isLateAt } from './expectedTimes.js';
 import type { BatchState } from './newBatchState.js';
@@ -20,7 +21,15 @@
 
 const groupKey = ({ state, item }: ItemTask): string => `${state.batch.id}\n${item.group}`;
 
-/** Describes items with what decides on their order and their engines. */
+const isFast = ({ lastingPace }: Candidate): boolean => classifyPace(lastingPace) === 'fast';
+
+/**
+ * Describes items with what decides on their order and their engines.
+ *
+ * Where some engines are fast, the items with the least time to spare go first and late groups give
+ * way, so that fast slots go to those that need them. Among engines that are alike the oldest batch
+ * goes first, its groups that were sent again before others, and nobody gives way.
+ */
 const newItemDescriber = ({ clock, tasks, reservations, routeOf }: ItemDescriberOptions) => {
   const isWanted = newWantedGroups();
 
@@ -30,6 +39,17 @@
     return dueMs > 0 ? state.batch.acceptedAt + dueMs : null;
   };
 
+  /** Wall time at which an item has to start to be in time on an engine of usual pace. */
+  const findLatestStart = (task: ItemTask, expectedTokens: number): number => {
+    const dueAt = findDueAt(task) ?? task.state.batch.acceptedAt;
+    const leadMs = task.isCarriedOver ? CARRIED_OVER_LEAD_MS : 0;
+    return dueAt - leadMs - estimateRunMs(expectedTokens, 1);
+  };
+
+  /** Within a batch, groups that were sent again come first; the longest item of equal ones does. */
+  const findTurn = ({ state, isCarriedOver }: ItemTask): number =>
+    state.batch.acceptedAt - (isCarriedOver ? 1 : 0);
+
   /** A group is late as soon as one of its items is. */
   const findLateGroups = (candidates: Candidate[]): Set<string> => {
     const bestPace = Math.min(1, ...candidates.map(({ lastingPace }) => lastingPace));
@@ -43,21 +63,20 @@
 
   /** @param candidates the upstreams on which the items may run */
   return (list: ItemTask[], candidates: Candidate[]): WaitingItem[] => {
-    const lateGroups = findLateGroups(candidates);
+    const isByTimeToSpare = candidates.some(isFast);
+    const lateGroups = isByTimeToSpare ? findLateGroups(candidates) : new Set<string>();
     return list.map((task) => {
       const { batch } = task.state;
       const isSingleVersion = routeOf(task.state)?.isSingleVersion ?? false;
       const expectedTokens = tasks.expectedTokens(task);
-      const dueAt = findDueAt(task) ?? batch.acceptedAt;
-      const leadMs = task.isCarriedOver ? CARRIED_OVER_LEAD_MS : 0;
       return {
         key: task.key,
         model: batch.model,
         minVersion: batch.leastVersion,
         requiredVersion: isSingleVersion ? (task.progress.versions[0] ?? null) : null,
         expectedTokens,
-        startBy: dueAt - leadMs - estimateRunMs(expectedTokens, 1),
-        isWanted: isWanted(task.state, task.item.group),
+        startBy: isByTimeToSpare ? findLatestStart(task, expectedTokens) : findTurn(task),
+        isWanted: !isByTimeToSpare || isWanted(task.state, task.item.group),
         isLate: lateGroups.has(groupKey(task)),
         avoidedUpstream: task.avoidedUpstream,
         reservedUpstream: reservations.find(task.key),
