--- a/packages/batches/src/newItemDescriber.ts
+++ b/packages/batches/src/newItemDescriber.ts
@@ -46,7 +46,7 @@
     return dueAt - leadMs - estimateRunMs(expectedTokens, 1);
   };
 
-  /** Within a batch, groups that were sent again come first; the longest item of equal ones does. */
+  /** Within a batch, groups that were sent again come first. */
   const findTurn = ({ state, isCarriedOver }: ItemTask): number =>
     state.batch.acceptedAt - (isCarriedOver ? 1 : 0);
 
@@ -69,13 +69,15 @@
       const { batch } = task.state;
       const isSingleVersion = routeOf(task.state)?.isSingleVersion ?? false;
       const expectedTokens = tasks.expectedTokens(task);
+      const startBy = findLatestStart(task, expectedTokens);
       return {
         key: task.key,
         model: batch.model,
         minVersion: batch.leastVersion,
         requiredVersion: isSingleVersion ? (task.progress.versions[0] ?? null) : null,
         expectedTokens,
-        startBy: isByTimeToSpare ? findLatestStart(task, expectedTokens) : findTurn(task),
+        startBy,
+        turn: isByTimeToSpare ? startBy : findTurn(task),
         isWanted: !isByTimeToSpare || isWanted(task.state, task.item.group),
         isLate: lateGroups.has(groupKey(task)),
         avoidedUpstream: task.avoidedUpstream,
--- a/packages/batches/src/planStarts.ts
+++ b/packages/batches/src/planStarts.ts
@@ -11,6 +11,8 @@
   expectedTokens: number;
   /** Wall time at which it has to start to be complete in time on an engine of usual pace. */
   startBy: number;
+  /** Among items that are wanted and not late, the lowest starts first. */
+  turn: number;
   /** Whether its trainer still waits for its group. */
   isWanted: boolean;
   /** Whether its group can't be complete in time any more. */
@@ -30,14 +32,14 @@
  * Orders waiting items by start priority.
  *
  * A step is complete when its slowest item is, and the longest items take most of the time that a
- * step has. So the items with the least time to spare start first, across trainers: in a step these
- * are the longest, which would end long after all others if they started last. Groups that the
- * trainer does not wait for any more, and those that are late in any case, give way.
+ * step has, so among items of one turn the longest start first: they would end long after all others
+ * if they started last. Groups that the trainer does not wait for any more, and those that are late in
+ * any case, give way.
  */
 export const compareWaiting = (left: WaitingItem, right: WaitingItem): number =>
   Number(right.isWanted) - Number(left.isWanted) ||
   Number(left.isLate) - Number(right.isLate) ||
-  left.startBy - right.startBy ||
+  left.turn - right.turn ||
   right.expectedTokens - left.expectedTokens;
 
 const canStart = (candidate: Candidate): boolean => countFree(candidate) > 0;
--- a/packages/batches/tests/findFasterMoves.test.ts
+++ b/packages/batches/tests/findFasterMoves.test.ts
@@ -24,6 +24,7 @@
 
 const waiting = (key: string, expectedTokens: number): WaitingItem => ({
   ...running(key, { expectedTokens }),
+  turn: NOW,
   avoidedUpstream: null,
   reservedUpstream: null,
 });
--- a/packages/batches/tests/newItemDescriber.test.ts
+++ b/packages/batches/tests/newItemDescriber.test.ts
@@ -1,12 +1,14 @@
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import test from 'ava';
 import type { Batch } from '../src/batchRecord.js';
+import findFasterMoves from '../src/findFasterMoves.js';
 import newBatches from '../src/newBatches.js';
 import newItemDescriber from '../src/newItemDescriber.js';
 import newPartialTexts from '../src/newPartialTexts.js';
 import newReservations from '../src/newReservations.js';
 import newTaskList from '../src/newTaskList.js';
 import { compareWaiting } from '../src/planStarts.js';
+import type { WaitingItem } from '../src/planStarts.js';
 import { newBatch, newCandidate, newItem, silentLog } from './helpers.js';
 import { batchRoute } from './newRunnerHost.js';
 
@@ -81,6 +83,19 @@
   t.true(items.every(({ isWanted, isLate }) => isWanted && !isLate));
 });
 
+test('an item that is in time on a slow engine stays there, also where no engine is fast', (t) => {
+  // Guards against a connection and a new run for each item that would have been in time.
+  const { clock, add, describeAll } = newHost();
+  add(newBatch('b', [newItem('1', { expectedTokens: 1_000 })]));
+  const [item] = Object.values(describeAll(1));
+  const engines = [newCandidate('slow', { lastingPace: 2, load: 1 }), newCandidate('usual')];
+  const running = { ...(item as WaitingItem), upstream: 'slow' };
+  t.deepEqual(
+    findFasterMoves(clock.wallTime(), [running], [], engines, () => false),
+    [],
+  );
+});
+
 test('no group is wanted once enough are complete, and none that lost an item', (t) => {
   const { add, describeAll, finish } = newHost();
   const items = ['1', '2', '3', '4'].map((id) => newItem(id));
--- a/packages/batches/tests/planning.test.ts
+++ b/packages/batches/tests/planning.test.ts
@@ -14,6 +14,7 @@
   requiredVersion: null,
   expectedTokens: 600,
   startBy: 1_000,
+  turn: changes.startBy ?? 1_000,
   isWanted: true,
   isLate: false,
   avoidedUpstream: null,
--- a/packages/batches/tests/playSteps.ts
+++ b/packages/batches/tests/playSteps.ts
@@ -115,6 +115,8 @@
     const isLate = (item: PlayedItem): boolean =>
       parts.isOrdered && isLateAt(now, item.acceptedAt + DUE_MS, restOf(item), 0.5);
     const late = new Set(open.filter(isLate).map(groupOf));
+    const findTurn = (item: PlayedItem): number =>
+      item.acceptedAt + (parts.isOrdered ? DUE_MS - estimateRunMs(restOf(item), 1) : 0);
     return new Map(
       open.map((item) => [
         item.key,
@@ -124,8 +126,8 @@
           minVersion: 1,
           requiredVersion: null,
           expectedTokens: restOf(item),
-          startBy:
-            item.acceptedAt + (parts.isOrdered ? DUE_MS - estimateRunMs(restOf(item), 1) : 0),
+          startBy: findTurn(item),
+          turn: findTurn(item),
           isWanted: true,
           isLate: late.has(groupOf(item)),
           avoidedUpstream: null,
--- a/scripts/ablate.js
+++ b/scripts/ablate.js
@@ -74,7 +74,7 @@
   ],
   'least time to spare first': [
     'packages/batches/src/planStarts.ts',
-    'left.startBy - right.startBy ||\n  right.expectedTokens - left.expectedTokens',
+    'left.turn - right.turn ||\n  right.expectedTokens - left.expectedTokens',
     '0',
   ],
   'fast slots for long items': [
