Which upstreams of a service may be used is found in one place

Cause: the place reader had written again the filter of the candidates. Change: findUsableUpstreams serves both; behaviour as before.

--- a/packages/gateway/src/newCandidates.ts
+++ b/packages/gateway/src/newCandidates.ts
@@ -1,18 +1,14 @@
-import { isInHomes } from '@cyclamengate/common/homes';
-import type { Homes, Regions } from '@cyclamengate/common/homes';
+import type { Homes } from '@cyclamengate/common/homes';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
-import type { Directory } from '@cyclamengate/engines/newDirectory';
 import type { ColdLimits } from '@cyclamengate/engines/newColdLimits';
-import type { Evacuations } from '@cyclamengate/engines/newEvacuations';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { Paces } from '@cyclamengate/engines/newPaces';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
+import findUsableUpstreams from './findUsableUpstreams.js';
+import type { UsableUpstreamOptions } from './findUsableUpstreams.js';
 
-export interface CandidateOptions {
-  regions: Regions;
-  directory: Directory;
-  evacuations: Pick<Evacuations, 'isEvacuated'>;
+export interface CandidateOptions extends UsableUpstreamOptions {
   coldLimits: Pick<ColdLimits, 'remaining'>;
   health: Health;
   loads: Loads;
@@ -26,8 +22,7 @@
  * failure domains, those outside the request's homes and those already tried.
  */
 const newCandidates = (options: CandidateOptions) => {
-  const { directory, evacuations, coldLimits, health, loads, failureDomain, isConnected } = options;
-  const { regions, paces } = options;
+  const { coldLimits, health, loads, paces, failureDomain, isConnected } = options;
 
   const describe = (entry: UpstreamEntry): Candidate => {
     const { pace, lastingPace } = paces.describe(entry);
@@ -48,11 +43,8 @@
     tried: ReadonlySet<string> = new Set(),
     homes: Homes = null,
   ): Candidate[] =>
-    directory
-      .all(service)
-      .filter(({ id, isDraining }) => !isDraining && !tried.has(id))
-      .filter((entry) => isInHomes(homes, entry.failureDomain, regions))
-      .filter((entry) => !evacuations.isEvacuated(entry.failureDomain))
+    findUsableUpstreams(options, service, homes)
+      .filter(({ id }) => !tried.has(id))
       .map(describe);
 };
 
--- a/packages/gateway/src/newPlaceReader.ts
+++ b/packages/gateway/src/newPlaceReader.ts
@@ -1,10 +1,11 @@
 import type Clock from '@cyclamengate/common/Clock';
-import { describeHomes, isInHomes } from '@cyclamengate/common/homes';
+import { describeHomes } from '@cyclamengate/common/homes';
 import type { Homes } from '@cyclamengate/common/homes';
 import newSlidingMaximum from '@cyclamengate/engines/newSlidingMaximum';
 import type { SlidingMaximum } from '@cyclamengate/engines/newSlidingMaximum';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
+import findUsableUpstreams from './findUsableUpstreams.js';
 import type { CandidateOptions } from './newCandidates.js';
 import newTimedCache from './newTimedCache.js';
 
@@ -43,24 +44,17 @@
 
 /** Counts the places of services by the loads of their upstreams, as far as this host knows them. */
 const newPlaceReader = (options: PlaceReaderOptions) => {
-  const { clock, regions, directory, evacuations, coldLimits, health, loads } = options;
+  const { clock, coldLimits, health, loads } = options;
   const { reservedPart } = options;
   const homesByPool = new Map<string, Homes>();
   const lists = newTimedCache<UpstreamEntry[]>(clock, LIST_TTL_MS);
   const peaks = new Map<string, SlidingMaximum>();
   const counts = newTimedCache<PlaceCount>(clock, COUNT_TTL_MS);
 
-  const findListed = (service: string, pool: string): UpstreamEntry[] => {
-    const homes = homesByPool.get(pool) ?? null;
-    return directory
-      .all(service)
-      .filter(({ isDraining }) => !isDraining)
-      .filter((entry) => isInHomes(homes, entry.failureDomain, regions))
-      .filter((entry) => !evacuations.isEvacuated(entry.failureDomain));
-  };
-
   const list = (service: string, pool: string): UpstreamEntry[] =>
-    lists.getOrCompute(`${service}\n${pool}`, () => findListed(service, pool));
+    lists.getOrCompute(`${service}\n${pool}`, () =>
+      findUsableUpstreams(options, service, homesByPool.get(pool) ?? null),
+    );
 
   const isStartable = (entry: UpstreamEntry): boolean => coldLimits.remaining(entry) > 0;
 
