--- a/packages/batches/src/newItemMover.ts
+++ b/packages/batches/src/newItemMover.ts
@@ -61,7 +61,6 @@
     },
     /** Moves long items to much faster engines, and reserves their slots there. */
     moveToFaster: (): void => {
-      const waitingScopes = scopes.group(tasks.waiting());
       // On a view that is not current a moved item could not start again.
       const movable = findMovable().filter(({ state }) => mayWork(state));
       scopes.group(movable).forEach((scope) => {
@@ -71,7 +70,8 @@
           ...item,
           upstream: tasks.get(item.key)?.upstream ?? '',
         }));
-        const rivals = waitingScopes.find(({ key }) => key === scope.key)?.list ?? [];
+        const rivals =
+          scopes.group(tasks.waiting()).find(({ key }) => key === scope.key)?.list ?? [];
         const waiting = describe(rivals, current);
         findFasterMoves(clock.wallTime(), running, waiting, current, refusals.isRefusing).forEach(
           ({ key, target }) => {
