--- a/review/standins/hosts.js
+++ b/review/standins/hosts.js
@@ -119,6 +119,13 @@
     host.isOver = true;
     child.kill('SIGKILL');
   };
+  // No host outlives the case, however that ends.
+  const killAll = () => hosts.forEach(({ child }) => child.kill('SIGKILL'));
+  process.once('exit', killAll);
+  process.once('SIGTERM', () => {
+    killAll();
+    process.kill(process.pid, 'SIGKILL');
+  });
   const memoryTimer = setInterval(() => hosts.forEach(checkMemory), MEMORY_CHECK_MS);
 
   const stop = async (host, signal) => {
