--- a/apps/host/src/hostSettings.ts
+++ b/apps/host/src/hostSettings.ts
@@ -33,6 +33,13 @@
     /** How long a batch can be read after it was accepted. */
     batchLifeSeconds: z.number().min(1),
   }),
+  /** Memory of this process. */
+  memory: z
+    .strictObject({
+      /** Memory beyond which the platform ends the process, in MiB; a smaller machine has less. */
+      limitMb: z.int().min(64).max(65_536).default(390),
+    })
+    .prefault({}),
   /** How the places of plain services are divided while they are scarce. */
   shares: z
     .strictObject({
--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -1,15 +1,23 @@
-import type { ServerResponse } from 'node:http';
-import { formatResults, parseBatch } from '@cyclamengate/adapter/batchCalls';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { formatResults } from '@cyclamengate/adapter/batchCalls';
 import { refusalHeaders } from '@cyclamengate/adapter/callerRequest';
 import type { CallerRequest } from '@cyclamengate/adapter/callerRequest';
-import type { Item } from '@cyclamengate/batches/batchRecord';
+import type { Batch } from '@cyclamengate/batches/batchRecord';
+import newBatchHead from '@cyclamengate/batches/newBatchHead';
+import { MAX_HELD_BYTES } from '@cyclamengate/batches/newBatchIntake';
+import { toItem } from '@cyclamengate/batches/requestSegment';
+import type { LoadedRequest } from '@cyclamengate/batches/newRequestReader';
 import storeBatch from '@cyclamengate/batches/storeBatch';
 import type { BatchWriter } from '@cyclamengate/batches/newBatchWriter';
 import type { BatchState } from '@cyclamengate/batches/newBatchState';
 import newResultPages from '@cyclamengate/batches/newResultPages';
+import assertNever from '@cyclamengate/common/assertNever';
 import type Clock from '@cyclamengate/common/Clock';
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
+import { announcedBytes } from '@cyclamengate/common/readBody';
+import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import { sendJson } from '@cyclamengate/common/handler';
 import findHomes from '@cyclamengate/gateway/findHomes';
 import { findCaller, pickService } from '@cyclamengate/gateway/findRoute';
@@ -18,6 +26,8 @@
 import { notRun, rejected, uncertain } from '@cyclamengate/gateway/refusal';
 import type { Refusal } from '@cyclamengate/gateway/refusal';
 import type { BatchStore } from './newBatchStore.js';
+import receiveBatch from './receiveBatch.js';
+import type { ReceivedBatch, ReceiveFault } from './receiveBatch.js';
 
 /**
  * Trainers retry a batch a few times, each after about 1.2 s without a response. Each call waits almost
@@ -34,10 +44,23 @@
 const STORE_RETRY_MS = 300;
 /** Retry delay while no upstream in the batch's homes takes requests; about a registry update. */
 const HOME_RETRY_MS = 1_000;
+const BODY_TIMEOUT_MS = 30_000;
+/** Time limit for a part of a large batch; the store takes one in some tens of milliseconds. */
+const PART_TIMEOUT_MS = 1_500;
+/** Copies of a small batch: decoded, as records, as an item of a call to other hosts, and so on. */
+const COPIES_OF_SMALL_BATCH = 6;
+/** Parts of a large batch that are on the way to the store, and what the next ones are made from. */
+const LARGE_BATCH_BYTES = 8_000_000;
+/** Texts of a page as records, joined, as the text of the answer, and as its bytes. */
+const COPIES_OF_PAGE = 4;
+
+/** What the request of a batch tells of it, beside its body. */
+type BatchFields = Pick<Batch, 'id' | 'customer' | 'route' | 'hostName' | 'acceptedAt'>;
 
 export interface BatchHandlerOptions {
   clock: Clock;
   log: EventLog;
+  memory: MemoryBudget;
   store: BatchStore;
   /** Writes a record to the store, through other hosts if this one can't reach it. */
   storeRecord: BatchWriter['write'];
@@ -48,7 +71,7 @@
 
 /** Handlers of the batch calls. They answer from the store's records, so all hosts answer alike. */
 const newBatchHandlers = (options: BatchHandlerOptions) => {
-  const { clock, log, store, storeRecord, readSettings, hasUpstream } = options;
+  const { clock, log, memory, store, storeRecord, readSettings, hasUpstream } = options;
   const { batches } = store;
   const pages = newResultPages({ clock, readTexts: store.texts.read });
 
@@ -83,10 +106,85 @@
   const isRefusal = (value: object): value is Refusal => 'status' in value;
 
   /** An item is reported missing only if the batch has no such id, not if it can't be read. */
-  const findItem = async (state: BatchState, itemId: string): Promise<Item | Refusal> => {
+  const findItem = async (state: BatchState, itemId: string): Promise<LoadedRequest | Refusal> => {
     if (!state.items.has(itemId)) return rejected(404, 'no-such-item');
-    const items = await store.requests.read(state);
-    return items?.get(itemId) ?? notRun('requests-unread', STORE_RETRY_MS);
+    return (await store.requests.load(state, itemId)) ?? notRun('requests-unread', STORE_RETRY_MS);
+  };
+
+  const refusalOf = ({ type }: ReceiveFault): Refusal => {
+    switch (type) {
+      case 'malformed-batch':
+        return rejected(400, type);
+      case 'item-too-large':
+      case 'too-many-items':
+      case 'too-large':
+        return rejected(413, type);
+      case 'too-slow':
+      case 'aborted':
+        return rejected(408, type);
+      case 'store-away':
+        return notRun(type, STORE_RETRY_MS);
+      default:
+        return assertNever(type);
+    }
+  };
+
+  /** Writes a batch that has arrived; other hosts can be handed a small one only. */
+  const storeReceived = (
+    fields: BatchFields,
+    { submitted, requests }: ReceivedBatch,
+    deadline: number,
+  ): Promise<WriteOutcome> => {
+    const batch = { ...fields, ...submitted };
+    if (requests.type === 'held') {
+      const record = { ...batch, type: 'batch' as const, items: requests.items.map(toItem) };
+      return storeBatch({ clock, batches, write: storeRecord }, record, deadline);
+    }
+    const head = newBatchHead(batch, requests.heads, requests.segments);
+    return storeBatch({ clock, batches, write: store.writeHead }, head, deadline);
+  };
+
+  const receiveAndStore = async (
+    incoming: IncomingMessage,
+    limitBytes: number,
+    fields: BatchFields,
+  ): Promise<Refusal | null> => {
+    const startedAt = clock.now();
+    const received = await receiveBatch({
+      incoming,
+      limitBytes,
+      timeoutMs: BODY_TIMEOUT_MS,
+      writePart: (part, bytes) =>
+        store.texts.writePart(fields.id, part, bytes, clock.now() + PART_TIMEOUT_MS),
+    });
+    if (!received.ok) {
+      const { type, message } = received.val;
+      log.warn('batch.not-received', { batch: fields.id, reason: type, message });
+      return refusalOf(received.val);
+    }
+    const receivedAt = clock.now();
+    const outcome = await storeReceived(fields, received.val, receivedAt + ACCEPT_TIMEOUT_MS);
+    const { submitted, requests } = received.val;
+    log.info('batch.accepted', {
+      batch: fields.id,
+      outcome,
+      items: (requests.type === 'held' ? requests.items : requests.heads).length,
+      requests: requests.type,
+      receiveMs: Math.round(receivedAt - startedAt),
+      storeMs: Math.round(clock.now() - receivedAt),
+      ...submitted,
+    });
+    if (outcome === 'written') return null;
+    // The append may still take effect and the batch run, so the refusal must not say "not run".
+    if (outcome === 'unknown') return uncertain('store-silent', 504);
+    return notRun('store-away', STORE_RETRY_MS);
+  };
+
+  /** Bytes that are held while a batch is accepted. */
+  const computeBatchBytes = (incoming: IncomingMessage): number => {
+    const bytes = announcedBytes(incoming);
+    const isSmall = bytes !== null && bytes <= MAX_HELD_BYTES;
+    return isSmall ? bytes * COPIES_OF_SMALL_BATCH : LARGE_BATCH_BYTES;
   };
 
   const accept = async (
@@ -95,52 +193,48 @@
     effective: EffectiveSettings,
     route: Route,
     customer: string | null,
-    body: Buffer,
   ): Promise<void> => {
+    const { req: incoming } = response;
     const id = request.requestId ?? '';
-    const submitted = parseBatch(body);
-    if (!submitted.ok || id === '') {
-      const problems = submitted.ok ? 'no id' : submitted.val;
-      log.warn('batch.malformed', { batch: id, problems });
-      refuse(response, request, id, rejected(400, 'malformed-batch'));
+    /** Answers at once; the rest of the body is read and discarded. */
+    const answer = (refusal: Refusal | null): void => {
+      if (refusal === null) sendJson(response, 202, {});
+      else refuse(response, request, id, refusal);
+      incoming.resume();
+    };
+    const { maxBodyBytes } = effective.settings.limits;
+    if (id === '') {
+      answer(rejected(400, 'malformed-batch'));
       return;
     }
     if (batches.get(id)) {
-      sendJson(response, 202, {});
+      answer(null);
+      return;
+    }
+    if ((announcedBytes(incoming) ?? 0) > maxBodyBytes) {
+      answer(rejected(413, 'too-large'));
       return;
     }
     const homes = findHomes(effective, route, customer);
     if (homes !== null && !hasUpstream(pickService(route, 0) ?? '', homes)) {
-      refuse(response, request, id, notRun('no-upstream', HOME_RETRY_MS));
+      answer(notRun('no-upstream', HOME_RETRY_MS));
+      return;
+    }
+    const lease = memory.reserve('batches', computeBatchBytes(incoming));
+    if (!lease) {
+      answer(notRun('no-memory', memory.retryAfterMs()));
       return;
     }
-    const record = {
-      type: 'batch' as const,
+    const fields = {
       id,
       customer,
       route: route.name,
       hostName: request.hostName,
       acceptedAt: clock.wallTime(),
-      ...submitted.val,
     };
-    const outcome = await storeBatch(
-      { clock, batches, write: storeRecord },
-      record,
-      clock.now() + ACCEPT_TIMEOUT_MS,
-    );
-    log.info('batch.accepted', {
-      batch: id,
-      outcome,
-      items: record.items.length,
-      step: record.step,
-      model: record.model,
-      leastVersion: record.leastVersion,
-      wantedGroups: record.wantedGroups,
-    });
-    if (outcome === 'written') sendJson(response, 202, {});
-    // The append may still take effect and the batch run, so the refusal must not say "not run".
-    else if (outcome === 'unknown') refuse(response, request, id, uncertain('store-silent', 504));
-    else refuse(response, request, id, notRun('store-away', STORE_RETRY_MS));
+    const refusal = await receiveAndStore(incoming, maxBodyBytes, fields);
+    lease.release();
+    answer(refusal);
   };
 
   /** Waits for a result at a position, until the caller's wait time is over. */
@@ -182,7 +276,14 @@
       refuse(response, request, id, notRun('store-away', STORE_RETRY_MS));
       return;
     }
+    const lease = memory.reserve('results', COPIES_OF_PAGE * pages.countBytes(state.results, from));
+    if (!lease) {
+      refuse(response, request, id, notRun('no-memory', memory.retryAfterMs()));
+      return;
+    }
     const page = await pages.read(state.results, from);
+    response.once('close', lease.release);
+    if (response.destroyed) lease.release();
     if (!page) {
       refuse(response, request, id, notRun('texts-unread', STORE_RETRY_MS));
       return;
@@ -204,7 +305,9 @@
       refuse(response, request, id, item);
       return;
     }
-    const body = Buffer.from(item.body, 'base64');
+    const { body } = item.request;
+    response.once('close', item.release);
+    if (response.destroyed) item.release();
     response.writeHead(200, {
       'content-type': 'application/octet-stream',
       'content-length': String(body.length),
--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -4,19 +4,27 @@
   Batch,
   BatchBegun,
   BatchChange,
+  BatchHead,
   Handover,
+  ItemHead,
   Part,
+  TextPlace,
 } from '@cyclamengate/batches/batchRecord';
 import newBatchHead from '@cyclamengate/batches/newBatchHead';
+import newHeldRequests from '@cyclamengate/batches/newHeldRequests';
 import newPartialTexts, { PARTIAL_TEXT_RETENTION_MS } from '@cyclamengate/batches/newPartialTexts';
 import newRequestReader from '@cyclamengate/batches/newRequestReader';
 import newTexts from '@cyclamengate/batches/newTexts';
 import newRecordReader from '@cyclamengate/batches/newRecordReader';
+import newSegmentBuilder from '@cyclamengate/batches/newSegmentBuilder';
+import newSegmentWriter from '@cyclamengate/batches/newSegmentWriter';
+import { toItemRequest } from '@cyclamengate/batches/requestSegment';
 import type { StoreReachability } from '@cyclamengate/batches/peerRouter';
 import { encodeRecord } from '@cyclamengate/batches/recordPieces';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import newId from '@cyclamengate/common/newId';
+import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import newStoreWriter from '@cyclamengate/store/newStoreWriter';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import newTopicFollower from '@cyclamengate/store/newTopicFollower';
@@ -43,6 +51,7 @@
 export interface BatchStoreOptions {
   clock: Clock;
   log: EventLog;
+  memory: MemoryBudget;
   store: Store;
   host: string;
   incarnation: string;
@@ -54,10 +63,16 @@
 
 /** Follows the batches in the store and writes their records. */
 const newBatchStore = (options: BatchStoreOptions) => {
-  const { clock, log, store, host, incarnation, retentionMs, readIntervalFactor } = options;
+  const { clock, log, memory, store, host, incarnation, retentionMs, readIntervalFactor } = options;
 
   const partTexts = newPartialTexts(clock);
-  const batches = newBatches({ clock, retentionMs, parts: partTexts });
+  const heldRequests = newHeldRequests(memory);
+  const batches = newBatches({
+    clock,
+    retentionMs,
+    parts: partTexts,
+    onRequestsDropped: heldRequests.drop,
+  });
   const follower = newTopicFollower({
     clock,
     log,
@@ -70,8 +85,28 @@
 
   const texts = newTexts({ clock, log, store, producer: incarnation });
 
+  const requests = newRequestReader({ clock, log, memory, readTexts: texts.readBytes });
+  batches.onChange((state) => {
+    if (state.isEnded || state.finished.size >= state.items.size) requests.forget(state);
+  });
+
   const encode = (record: { type: string }): Buffer[] => encodeRecord(record, newId('record'));
 
+  /** Writes the requests of a batch that this host holds; null if the store did not take them. */
+  const writeRequests = async (
+    batch: Batch,
+    deadline: number,
+  ): Promise<{ heads: ItemHead[]; segments: TextPlace[] } | null> => {
+    const segmentWriter = newSegmentWriter({
+      writePart: (_, bytes) => texts.write(batch.id, bytes, deadline),
+    });
+    const builder = newSegmentBuilder({ onPart: segmentWriter.add });
+    batch.items.map(toItemRequest).forEach(builder.addRequest);
+    const heads = builder.end();
+    const segments = await segmentWriter.end();
+    return segments && { heads, segments };
+  };
+
   /**
    * Writes the items of a batch, then its head. Without the head no host sees the batch, so it has not
    * run and never will.
@@ -81,9 +116,10 @@
     begun: BatchBegun | null,
     deadline: number,
   ): Promise<WriteOutcome> => {
-    const place = await texts.write(batch.id, JSON.stringify(batch.items), deadline);
-    if (!place) return 'not-written';
-    const records = [newBatchHead(batch, place), ...(begun ? [begun] : [])];
+    const stored = await writeRequests(batch, deadline);
+    if (!stored) return 'not-written';
+    const head = newBatchHead(batch, stored.heads, stored.segments);
+    const records = [head, ...(begun ? [begun] : [])];
     return writer.write(records.flatMap(encode), deadline);
   };
 
@@ -168,6 +204,8 @@
     begin: (batch: Batch): void => {
       if (batches.begin(batch)) storeBegunBatch(batch, null);
     },
+    /** Takes room for the requests of a batch; @returns whether this host can hold them. */
+    hold: (batch: Batch): boolean => heldRequests.hold(batch.id, batch.items),
     /** Takes over a batch from another host and continues from the partial texts sent with it. */
     takeOver: ({ batch, texts: handedTexts, from }: Handover): void => {
       handedTexts.forEach(partTexts.apply);
@@ -175,13 +213,16 @@
       else if (batches.takeOver(batch)) recordTakeover(batch, from);
     },
     texts,
-    requests: newRequestReader({ clock, log, readTexts: texts.read }),
+    requests,
     readParts: parts.catchUp,
     writePart,
     run: follower.run,
     catchUp: follower.catchUp,
     freshAt: follower.freshAt,
     isUnreachable: follower.isUnavailable,
+    /** Writes the head of a batch whose requests are stored. */
+    writeHead: (head: BatchHead, deadline: number): Promise<WriteOutcome> =>
+      writer.write(encode(head), deadline),
     write: (change: BatchChange, deadline: number): Promise<WriteOutcome> =>
       change.type === 'batch'
         ? writeBatch(change, null, deadline)
--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -5,8 +5,10 @@
 import type { HandlerRequest } from '@cyclamengate/common/handler';
 import { sendJson } from '@cyclamengate/common/handler';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
-import { readBody } from '@cyclamengate/common/readBody';
+import { announcedBytes, readBody } from '@cyclamengate/common/readBody';
+import type { BodyFault } from '@cyclamengate/common/readBody';
 import sendJsonAndClose from '@cyclamengate/common/sendJsonAndClose';
 import roundPace from '@cyclamengate/engines/roundPace';
 import { findCaller, findRoute, pickService } from '@cyclamengate/gateway/findRoute';
@@ -31,6 +33,7 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
+  memory: MemoryBudget;
   meter: UsageMeter;
   relay: AdmittedRelay;
   relayStream: StreamRelay;
@@ -41,7 +44,7 @@
 
 /** Serves callers: resolves route and customer, then relays the request or accepts the batch. */
 const newCallerHandler = (options: CallerHandlerOptions) => {
-  const { clock, log, metrics, meter, relay, relayStream, batches, readSettings } = options;
+  const { clock, log, memory, metrics, meter, relay, relayStream, batches, readSettings } = options;
 
   const refuse = (response: ServerResponse, request: CallerRequest, refusal: Refusal): void => {
     metrics.count(`requests_refused_${refusal.code.replaceAll('-', '_')}`);
@@ -51,6 +54,11 @@
     send(response, refusal.status, { error: refusal.code }, headers);
   };
 
+  const refusalOf = (fault: BodyFault): Refusal => {
+    if (fault === 'no-memory') return notRun(fault, memory.retryAfterMs());
+    return rejected(fault === 'too-large' ? 413 : 408, fault);
+  };
+
   const logRefusal = (request: CallerRequest, refusal: Refusal, version?: number): void =>
     log.info('request.refused', {
       requestId: request.requestId,
@@ -91,7 +99,7 @@
     effective: EffectiveSettings,
     route: Route,
     customer: string | null,
-    body: Buffer,
+    payload: Pick<RelayedRequest, 'body' | 'answerLease'>,
     arrivedAt: number,
   ): Promise<void> => {
     const service = pickService(route, Math.random());
@@ -105,7 +113,7 @@
       path: request.path,
       hostName: request.hostName,
       headers: request.headers,
-      body,
+      ...payload,
       customer,
       lastEventId: request.lastEventId,
       service,
@@ -140,6 +148,40 @@
     });
   };
 
+  /** Reads the body of a request and relays it, and counts the body until the answer is sent. */
+  const serveRequest = async (
+    caller: CallerRequest,
+    response: ServerResponse,
+    effective: EffectiveSettings,
+    route: Route,
+    customer: string | null,
+    arrivedAt: number,
+    reject: (refusal: Refusal) => void,
+  ): Promise<void> => {
+    const { req: request } = response;
+    const { maxBodyBytes } = effective.settings.limits;
+    const announced = announcedBytes(request) ?? 0;
+    if (announced > maxBodyBytes) {
+      reject(rejected(413, 'too-large'));
+      return;
+    }
+    const lease = memory.reserve('requests', announced);
+    if (!lease) {
+      reject(notRun('no-memory', memory.retryAfterMs()));
+      return;
+    }
+    const answerLease = memory.hold('answers', 0);
+    response.once('close', () => {
+      lease.release();
+      answerLease.release();
+    });
+    const body = await readBody(request, maxBodyBytes, BODY_TIMEOUT_MS, lease);
+    if (body.ok) {
+      const payload = { body: body.val, answerLease };
+      await relayRequest(caller, response, effective, route, customer, payload, arrivedAt);
+    } else reject(refusalOf(body.val));
+  };
+
   const serve = async (request: HandlerRequest, response: ServerResponse): Promise<void> => {
     const arrivedAt = clock.now();
     const caller = parseCallerRequest(request);
@@ -147,25 +189,21 @@
     const effective = readSettings();
     const route = effective && findRoute(effective, caller.hostName, caller.path);
     const identity = effective && route ? findCaller(effective, route, caller.key) : null;
-    const limitBytes = effective?.settings.limits.maxBodyBytes ?? 0;
-    // Also read before a refusal: closing with unread bytes would reset the connection.
-    const body = await readBody(request, Math.max(limitBytes, 65_536), BODY_TIMEOUT_MS);
     const version = effective?.settings.version;
     const reject = (refusal: Refusal): void => {
       logRefusal(caller, refusal, version);
       refuse(response, caller, refusal);
+      // Read and discarded: closing with unread bytes would reset the connection.
+      request.resume();
     };
+    const isBatch = route?.kind === 'batch' && caller.method === 'POST';
     if (!effective) reject(notRun('no-settings', NO_SETTINGS_RETRY_MS));
     else if (!route) reject(rejected(404, 'no-route'));
     else if (!identity) reject(rejected(401, 'unknown-key'));
-    else if (!body.ok) reject(rejected(body.val === 'too-large' ? 413 : 408, body.val));
     else {
       const customer = identity.type === 'customer' ? identity.customer.name : null;
-      const isBatch = route.kind === 'batch' && caller.method === 'POST';
-      if (isBatch) await batches.accept(caller, response, effective, route, customer, body.val);
-      else {
-        await relayRequest(caller, response, effective, route, customer, body.val, arrivedAt);
-      }
+      if (isBatch) await batches.accept(caller, response, effective, route, customer);
+      else await serveRequest(caller, response, effective, route, customer, arrivedAt, reject);
     }
   };
 
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -13,6 +13,8 @@
 import type { Homes } from '@cyclamengate/common/homes';
 import newEventLog from '@cyclamengate/common/newEventLog';
 import newId from '@cyclamengate/common/newId';
+import newGarbageCollector from '@cyclamengate/common/newGarbageCollector';
+import newMemoryBudget from '@cyclamengate/common/newMemoryBudget';
 import newMetrics from '@cyclamengate/common/newMetrics';
 import newSystemClock from '@cyclamengate/common/newSystemClock';
 import newTaskGroup from '@cyclamengate/common/newTaskGroup';
@@ -26,6 +28,7 @@
 import newSettingsView from '@cyclamengate/gateway/newSettingsView';
 import rankHosts from '@cyclamengate/hosts/rankHosts';
 import newUsageMeter from '@cyclamengate/hosts/newUsageMeter';
+import computeBodyBytes from './computeBodyBytes.js';
 import followPlatform from './followPlatform.js';
 import type { HostSettings } from './hostSettings.js';
 import newBatchHandlers from './newBatchHandlers.js';
@@ -55,6 +58,13 @@
   const log = newEventLog(host);
   const metrics = newMetrics();
   const store = newHttpStore(settings.store.address);
+  const memory = newMemoryBudget({
+    clock,
+    log,
+    metrics,
+    limitBytes: computeBodyBytes(settings.memory.limitMb),
+    collect: newGarbageCollector(),
+  });
   const tasks = newTaskGroup((task, error) => {
     log.error('process.broken', { task, error: (error as Error).stack });
     throw error;
@@ -109,6 +119,7 @@
   const batchStore = newBatchStore({
     clock,
     log,
+    memory,
     store,
     host,
     incarnation,
@@ -251,6 +262,7 @@
   const batchHandlers = newBatchHandlers({
     clock,
     log,
+    memory,
     store: batchStore,
     storeRecord: batchWriter.write,
     readSettings: settingsView.read,
@@ -259,6 +271,7 @@
   const callers = newCallerHandler({
     clock,
     log,
+    memory,
     metrics,
     meter,
     relay: upstreams.relayAdmitted,
@@ -275,7 +288,7 @@
     callers,
     batches: batchHandlers,
     readSettings: settingsView.read,
-    peerServer: newPeerServer(peerService),
+    peerServer: newPeerServer(peerService, memory),
     isReady: () => settingsView.read() !== null && !isLeaving,
     describeServices: upstreams.describeServices,
   });
@@ -307,6 +320,7 @@
   const registerGauges = (): void => {
     metrics.gauge('batch_items_open', runner.open);
     metrics.gauge('batch_items_running', runner.running);
+    metrics.gauge('memory_resident_bytes', () => process.memoryUsage.rss());
     metrics.gauge('hosts_live', () => coordination.members.live().length);
     metrics.gauge('settings_version', () => settingsView.read()?.settings.version ?? 0);
     metrics.gauge('batches_view_age_ms', () => Math.round(clock.now() - batchStore.freshAt()));
--- a/apps/host/src/newPeerService.ts
+++ b/apps/host/src/newPeerService.ts
@@ -25,7 +25,8 @@
   return {
     keep: (record, withinMs) => batchStore.write(record, clock.now() + withinMs),
     begin: (batch) => {
-      if (isLeaving()) return 'leaving';
+      // A host without room for a batch takes it as little as one that leaves.
+      if (isLeaving() || !batchStore.hold(batch)) return 'leaving';
       batchStore.begin(batch);
       return batchStore.batches.hasBegun(batch.id) ? 'begun' : 'kept';
     },
@@ -34,7 +35,7 @@
     takeOver: async (handover) => {
       const isSuitable =
         !handover.isSenderCut || (await batchStore.checkStoreAccess()) === 'steady';
-      const isAccepted = isSuitable && !isLeaving();
+      const isAccepted = isSuitable && !isLeaving() && batchStore.hold(handover.batch);
       if (isAccepted) batchStore.takeOver(handover);
       return isAccepted;
     },
--- a/apps/platform-standin/src/newStoreServer.ts
+++ b/apps/platform-standin/src/newStoreServer.ts
@@ -80,7 +80,8 @@
     if (outcome.ok) {
       const { offset } = outcome.val;
       sendJson(response, 200, { offset, end: offset + records.length });
-    } else if (outcome.val.type === 'sequence') {
+    } else if (outcome.val.type === 'rejected') sendJson(response, 413, {});
+    else if (outcome.val.type === 'sequence') {
       sendJson(response, 409, { why: 'seq', seq: outcome.val.expected });
     } else sendJson(response, 409, { why: 'fenced' });
   };
--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -28,6 +28,19 @@
 
 export type Item = z.infer<typeof itemSchema>;
 
+/** A request of a batch without the bodies, which can be large. */
+export const itemFieldsSchema = itemSchema
+  .omit({ body: true })
+  .extend({ scoring: scoringCallSchema.omit({ body: true }).nullable() });
+
+export type ItemFields = z.infer<typeof itemFieldsSchema>;
+
+/** A request of a batch with its bodies as bytes, as it is sent to an engine. */
+export interface ItemRequest extends Omit<ItemFields, 'scoring'> {
+  body: Buffer;
+  scoring: (NonNullable<ItemFields['scoring']> & { body: Buffer }) | null;
+}
+
 /** A batch as accepted from its sender. */
 export const batchSchema = z.object({
   type: z.literal('batch'),
@@ -51,14 +64,19 @@
 /** What decides in which regions a batch may run. */
 export type BatchOwner = Pick<Batch, 'route' | 'customer'>;
 
-/** Location of a text in the store: consecutive records of a text topic. */
-export const textPlaceSchema = z.object({
+/** Consecutive records of a text topic, written in one append. */
+export const textRunSchema = z.object({
   topic: z.string(),
   offset: z.int(),
   count: z.int(),
   bytes: z.int(),
 });
 
+export type TextRun = z.infer<typeof textRunSchema>;
+
+/** Location of a text in the store. A text that is larger than one append has further runs. */
+export const textPlaceSchema = textRunSchema.extend({ rest: z.array(textRunSchema).optional() });
+
 export type TextPlace = z.infer<typeof textPlaceSchema>;
 
 /**
@@ -70,6 +88,8 @@
   expectedTokens: z.number().nullable(),
   /** Digest of the request; items with equal digests request the same text. */
   digest: z.string(),
+  /** Number of the segment that holds the request. */
+  segment: z.int(),
 });
 
 export type ItemHead = z.infer<typeof itemHeadSchema>;
@@ -78,8 +98,8 @@
 export const batchHeadSchema = batchSchema.extend({
   type: z.literal('batch-head'),
   items: z.array(itemHeadSchema),
-  /** Location of the batch's items, stored as JSON. */
-  requests: textPlaceSchema,
+  /** Locations of the segments that hold the requests, in order. */
+  segments: z.array(textPlaceSchema),
 });
 
 export type BatchHead = z.infer<typeof batchHeadSchema>;
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -93,6 +93,7 @@
     clock,
     log,
     scorer,
+    requests,
     mayWork,
     write,
     writeText,
@@ -108,6 +109,7 @@
     incarnation: options.incarnation,
     handOverTo: options.handOverTo,
     savePart,
+    requests,
     onHandedOver: notifier.notify,
   });
   let nextSaveAt = -Infinity;
@@ -143,6 +145,7 @@
     reservations,
     repeats: newRepeatCounter(options.metrics),
     notifier,
+    requests,
     routeOf,
     abandon,
     score,
--- a/packages/batches/src/newBatchState.ts
+++ b/packages/batches/src/newBatchState.ts
@@ -7,13 +7,16 @@
 export interface BatchState {
   batch: Omit<Batch, 'type' | 'items'>;
   items: Map<string, ItemHead>;
-  /** Items with their requests; null if this host has not read them or no longer needs them. */
+  /**
+   * Items with their requests, of a batch that this host was handed; null if they are read from the
+   * store or no longer needed.
+   */
   requests: Map<string, Item> | null;
   /**
-   * Location of the items with their requests in the store; null while the store does not have
-   * them.
+   * Locations of the segments that hold the requests in the store; none while the store does not
+   * have them.
    */
-  requestsPlace: TextPlace | null;
+  segments: TextPlace[];
   /** In log order, which defines the position of each result. */
   results: ItemResult[];
   finished: Set<string>;
@@ -70,7 +73,7 @@
     batch,
     items: mapById(hasRequests ? batch.items.map(newItemHead) : batch.items),
     requests: hasRequests ? mapById(batch.items) : null,
-    requestsPlace: hasRequests ? null : batch.requests,
+    segments: hasRequests ? [] : batch.segments,
     results: [],
     finished: new Set(),
     isEnded: false,
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -23,6 +23,8 @@
   retentionMs: number;
   /** Partial texts, as far as they were read. */
   parts: PartialTexts;
+  /** Called when the requests of a batch are no longer held here. */
+  onRequestsDropped?: (batch: string) => void;
 }
 
 /**
@@ -32,7 +34,8 @@
  * the same item. The first record of a batch and the first result of an item in log order take
  * effect, so that every host gives the same answer without asking another.
  */
-const newBatches = ({ clock, retentionMs, parts }: BatchesOptions) => {
+const newBatches = (options: BatchesOptions) => {
+  const { clock, retentionMs, parts, onRequestsDropped } = options;
   const states = new Map<string, BatchState>();
   const completed = new Map<string, { digest: string; result: ItemResult }>();
   const reportedExecutors = new Map<string, BatchExecutor & { at: number }>();
@@ -60,7 +63,9 @@
     known.isLogged = true;
     known.isStored = true;
     known.batch = batch;
-    known.requestsPlace = batch.type === 'batch-head' ? batch.requests : null;
+    known.segments = batch.type === 'batch-head' ? batch.segments : [];
+    // A host may have begun it with other segments than those that the store has.
+    if (batch.type === 'batch-head') known.items = mapById(batch.items);
     return known;
   };
 
@@ -90,11 +95,16 @@
     return state;
   };
 
+  const dropRequests = (state: BatchState): void => {
+    state.requests = null;
+    onRequestsDropped?.(state.batch.id);
+  };
+
   const end = (id: string): BatchState | null => {
     const state = states.get(id);
     if (!state || state.isEnded) return null;
     state.isEnded = true;
-    state.requests = null;
+    dropRequests(state);
     return state;
   };
 
@@ -118,9 +128,10 @@
     reportedExecutors.forEach(({ at }, id) => {
       if (at + retentionMs < clock.now()) reportedExecutors.delete(id);
     });
-    states.forEach(({ evictAt }, id) => {
-      if (evictAt >= clock.now()) return;
-      states.get(id)?.results.forEach(({ item, batch }) => {
+    states.forEach((state, id) => {
+      if (state.evictAt >= clock.now()) return;
+      dropRequests(state);
+      state.results.forEach(({ item, batch }) => {
         if (completed.get(item)?.result.batch === batch) completed.delete(item);
       });
       states.delete(id);
@@ -196,7 +207,9 @@
       const state = states.get(id);
       if (!state) return;
       state.isBegunHere = false;
-      if (!state.isLogged) states.delete(id);
+      if (state.isLogged) return;
+      dropRequests(state);
+      states.delete(id);
     },
     open: (): BatchState[] =>
       [...states.values()].filter(
--- a/packages/batches/src/newHandoverSender.ts
+++ b/packages/batches/src/newHandoverSender.ts
@@ -5,6 +5,7 @@
 import type { BatchState } from './newBatchState.js';
 import newHandover from './newHandover.js';
 import type { PartSaver } from './newPartSaver.js';
+import type { RequestReader } from './newRequestReader.js';
 import type { ItemTask, TaskList } from './newTaskList.js';
 
 export interface HandoverSenderOptions {
@@ -16,6 +17,7 @@
   /** Hands a batch over to another host; @returns its name, null if no host takes it. */
   handOverTo: (handover: Handover) => Promise<string | null>;
   savePart: PartSaver;
+  requests: Pick<RequestReader, 'loadAll'>;
   onHandedOver: () => void;
 }
 
@@ -29,15 +31,22 @@
  * to the next host in order of preference.
  */
 const newHandoverSender = (options: HandoverSenderOptions) => {
-  const { log, batches, tasks, incarnation, handOverTo, savePart, onHandedOver } = options;
+  const { log, batches, tasks, incarnation, handOverTo, savePart, requests, onHandedOver } =
+    options;
 
   const handOverBatch = async (
     state: BatchState,
     open: ItemTask[],
     isPartitioned: boolean,
   ): Promise<void> => {
-    const handover = newHandover(state, open, incarnation, isPartitioned);
-    if (!handover) return;
+    if (state.isEnded) return;
+    const items = await requests.loadAll(state);
+    if (!items) {
+      // The next owner reads the batch from the store, as it does when a host dies.
+      log.warn('batch.not-handed-over', { batch: state.batch.id, reason: 'requests not held' });
+      return;
+    }
+    const handover = newHandover(state, items, open, incarnation, isPartitioned);
     const successor = await handOverTo(handover);
     if (successor === null) return;
     batches.markHandedOver(state.batch.id);
--- a/packages/batches/src/newItemFinisher.ts
+++ b/packages/batches/src/newItemFinisher.ts
@@ -2,7 +2,8 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { ItemResult, TextPlace } from './batchRecord.js';
-import type { ItemScorer } from './newItemScorer.js';
+import type { ItemScorer, ScoreOutcome } from './newItemScorer.js';
+import type { RequestReader } from './newRequestReader.js';
 import type { BatchState } from './newBatchState.js';
 import type { ItemOutcome, ItemTask } from './newTaskList.js';
 
@@ -16,6 +17,7 @@
   clock: Clock;
   log: EventLog;
   scorer: ItemScorer;
+  requests: Pick<RequestReader, 'load'>;
   /** Whether the view is current enough to work on a batch. */
   mayWork: (state: BatchState) => boolean;
   write: (result: ItemResult, deadline: number) => Promise<WriteOutcome>;
@@ -24,7 +26,7 @@
 
 /** Finishes items: scores the complete text or abandons the item, and writes the result. */
 const newItemFinisher = (options: ItemFinisherOptions) => {
-  const { clock, log, scorer, mayWork, write, writeText } = options;
+  const { clock, log, scorer, requests, mayWork, write, writeText } = options;
 
   const writeResult = async (task: ItemTask, itemOutcome: ItemOutcome): Promise<void> => {
     const { state, item } = task;
@@ -73,6 +75,19 @@
     }
   };
 
+  /** @returns null if the item has no scorer; `unread` if its request can't be read now */
+  const callScorer = async (task: ItemTask): Promise<ScoreOutcome | 'unread' | null> => {
+    const { state, item, controller } = task;
+    const loaded = await requests.load(state, item.id);
+    if (!loaded) return 'unread';
+    const { scoring } = loaded.request;
+    const outcome = scoring
+      ? await scorer(scoring, state.batch, () => mayWork(state), controller.signal)
+      : null;
+    loaded.release();
+    return outcome;
+  };
+
   /**
    * Scores a complete text if the view is current. A stale view may lack the end of the batch, and
    * the customer would pay for a score that is no longer wanted. The text waits for a current view.
@@ -82,14 +97,15 @@
     task.phase = 'unscored';
     if (!mayWork(task.state)) return;
     task.phase = 'scoring';
-    const { signal } = task.controller;
-    const { scoring } = task.item;
     const storing = storeText(task);
-    const outcome = scoring
-      ? await scorer(scoring, task.state.batch, () => mayWork(task.state), signal)
-      : null;
+    const outcome = await callScorer(task);
     await storing;
-    if (outcome?.type === 'ended' || signal.aborted) return;
+    if (task.controller.signal.aborted) return;
+    if (outcome === 'unread') {
+      task.phase = 'unscored';
+      return;
+    }
+    if (outcome?.type === 'ended') return;
     if (outcome?.type === 'failed') {
       await abandon(task, 'scoring failed too often');
       return;
--- a/packages/batches/src/newItemRequest.ts
+++ b/packages/batches/src/newItemRequest.ts
@@ -1,12 +1,14 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
+import type { ItemRequest } from './batchRecord.js';
 import type { ItemTask } from './newTaskList.js';
 
 /** The request that runs an item from where its text ends. */
 const newItemRequest = (
   clock: Clock,
-  { state, item, progress }: ItemTask,
+  { state, progress }: ItemTask,
+  item: ItemRequest,
   route: Route | undefined,
 ): UpstreamRequest => {
   const { batch } = state;
@@ -19,7 +21,7 @@
     hostName: batch.hostName,
     headers: item.headers,
     priority: route?.priority ?? null,
-    body: Buffer.from(item.body, 'base64'),
+    body: item.body,
     customer: batch.customer,
     deadline: retentionMs > 0 ? clock.now() + Math.max(1, retentionMs - age) : null,
     lastEventId: progress.lastEventId,
--- a/packages/batches/src/newItemRunner.ts
+++ b/packages/batches/src/newItemRunner.ts
@@ -5,18 +5,23 @@
 import { getLoadedVersion } from '@cyclamengate/engines/upstreamEntry';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { EventReader } from './EventReader.js';
+import type { ItemRequest } from './batchRecord.js';
 import newItemRequest from './newItemRequest.js';
 import type { Refusals } from './newRefusals.js';
 import type { RepeatCounter } from './newRepeatCounter.js';
+import type { RequestReader } from './newRequestReader.js';
 import type { Reservations } from './newReservations.js';
 import newRunEndHandler from './newRunEndHandler.js';
 import type { RunEndHandlerOptions } from './newRunEndHandler.js';
 import type { ItemTask } from './newTaskList.js';
 import { meetsMinVersion, newProgress } from './progress.js';
 import runOnce from './runOnce.js';
+import type { RunEnd } from './runOnce.js';
 
 /** Of all models alike, so that engines of different models can be compared. */
 const EVENT_KIND = 'event';
+/** Delay before a request that could not be read, or held, is read again. */
+const UNREAD_RETRY_MS = 100;
 
 export interface ItemRunnerOptions extends RunEndHandlerOptions {
   client: UpstreamClient;
@@ -26,12 +31,13 @@
   refusals: Pick<Refusals, 'record' | 'clear'>;
   reservations: Pick<Reservations, 'release'>;
   repeats: RepeatCounter;
+  requests: Pick<RequestReader, 'load'>;
 }
 
 /** Runs an item once on an engine, and handles the end of the run. */
 const newItemRunner = (options: ItemRunnerOptions) => {
   const { clock, log, client, newEventReader, loads, paces, refusals } = options;
-  const { reservations, repeats, routeOf } = options;
+  const { reservations, repeats, requests, routeOf } = options;
   const handleRunEnd = newRunEndHandler(options);
 
   /**
@@ -74,21 +80,27 @@
       lastEventId: progress.lastEventId,
       run: task.runs,
     });
-    const end = await runOnce({
-      clock,
-      client,
-      newEventReader,
-      entry,
-      progress,
-      request: newItemRequest(clock, task, route),
-      isVersionAllowed: (version) =>
-        version >= batch.leastVersion &&
-        (!isSingleVersion || progress.versions.every((other) => other === version)),
-      onEvent: (gapMs) => paces.record(entry, EVENT_KIND, gapMs),
-      onLoad: (load) => loads.report(entry.id, load),
-      onAccepted: () => refusals.clear(entry.id, batch.model),
-      signal: AbortSignal.any([task.controller.signal, runController.signal]),
-    });
+    const loaded = await requests.load(state, item.id);
+    const run = async (request: ItemRequest): Promise<RunEnd> =>
+      runOnce({
+        clock,
+        client,
+        newEventReader,
+        entry,
+        progress,
+        request: newItemRequest(clock, task, request, route),
+        isVersionAllowed: (version) =>
+          version >= batch.leastVersion &&
+          (!isSingleVersion || progress.versions.every((other) => other === version)),
+        onEvent: (gapMs) => paces.record(entry, EVENT_KIND, gapMs),
+        onLoad: (load) => loads.report(entry.id, load),
+        onAccepted: () => refusals.clear(entry.id, batch.model),
+        signal: AbortSignal.any([task.controller.signal, runController.signal]),
+      });
+    const end: RunEnd = loaded
+      ? await run(loaded.request)
+      : { type: 'unread', retryAt: clock.now() + UNREAD_RETRY_MS };
+    loaded?.release();
     loads.end(entry.id);
     task.upstream = null;
     if (end.type !== 'whole') discardUnusable(task, isSingleVersion);
--- a/packages/batches/src/newItemScorer.ts
+++ b/packages/batches/src/newItemScorer.ts
@@ -7,7 +7,7 @@
 import { BACKGROUND } from '@cyclamengate/gateway/workClasses';
 import findHomes from '@cyclamengate/gateway/findHomes';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
-import type { Batch, Item } from './batchRecord.js';
+import type { Batch, ItemRequest } from './batchRecord.js';
 
 /** Time limit of one call; scoring takes 45 ms, at most 220 ms. */
 const CALL_TIMEOUT_MS = 1_500;
@@ -21,6 +21,9 @@
 const INITIAL_BACKOFF_MS = 40;
 const MAX_BACKOFF_MS = 500;
 
+/** The call that scores an item. */
+export type ScoringCall = NonNullable<ItemRequest['scoring']>;
+
 export type ScoreOutcome =
   | { type: 'score'; score: string }
   /** The scoring service failed as often as the route allows. */
@@ -46,7 +49,7 @@
 const newItemScorer = ({ clock, log, relay, admit, readSettings }: ItemScorerOptions) => {
   /** Calls the service once there is a place for it; null if it is no longer wanted then. */
   const call = async (
-    scoring: NonNullable<Item['scoring']>,
+    scoring: ScoringCall,
     { customer, acceptedAt }: ScoredBatch,
     mayCall: () => boolean,
     signal: AbortSignal,
@@ -63,7 +66,7 @@
       path: scoring.path,
       hostName: scoring.hostName,
       headers: {},
-      body: Buffer.from(scoring.body, 'base64'),
+      body: scoring.body,
       customer: null,
       lastEventId: null,
       service,
@@ -95,7 +98,7 @@
    * @param mayCall whether the item's batch is known to be still wanted
    */
   return async (
-    scoring: NonNullable<Item['scoring']>,
+    scoring: ScoringCall,
     batch: ScoredBatch,
     mayCall: () => boolean,
     signal: AbortSignal,
--- a/packages/batches/src/newPartialTexts.ts
+++ b/packages/batches/src/newPartialTexts.ts
@@ -7,6 +7,8 @@
  * step.
  */
 export const PARTIAL_TEXT_RETENTION_MS = 30_000;
+/** Texts are some 10 KB each; beyond this size the oldest are evicted and made again. */
+const MAX_CHARACTERS = 8_000_000;
 
 /** Text of an item as written by its most recent writer. */
 export interface PartialText {
@@ -15,6 +17,7 @@
   progress: Progress;
   isComplete: boolean;
   expiresAt: number;
+  characters: number;
 }
 
 /**
@@ -26,13 +29,24 @@
  */
 const newPartialTexts = (clock: Clock) => {
   const texts = new Map<string, PartialText>();
+  let characters = 0;
+
+  const remove = (item: string): void => {
+    characters -= texts.get(item)?.characters ?? 0;
+    texts.delete(item);
+  };
+
+  const evictOldest = (): void => {
+    const [oldest] = texts.keys();
+    if (oldest !== undefined) remove(oldest);
+  };
 
   const isContinuation = (current: PartialText | undefined, { writer, from }: Part): boolean =>
     current?.writer === writer && current.progress.events.length === from;
 
   const evictExpired = (): void =>
     texts.forEach(({ expiresAt }, item) => {
-      if (expiresAt < clock.now()) texts.delete(item);
+      if (expiresAt < clock.now()) remove(item);
     });
 
   return {
@@ -43,13 +57,22 @@
       const earlier = from > 0 ? (current?.progress.events ?? []) : [];
       const progress = { events: [...earlier, ...events], lastEventId, versions };
       const expiresAt = clock.now() + PARTIAL_TEXT_RETENTION_MS;
-      texts.set(item, { batch, writer, progress, isComplete: isWhole, expiresAt });
+      const size = progress.events.reduce((sum, event) => sum + event.length, 0);
+      remove(item);
+      characters += size;
+      texts.set(item, {
+        batch,
+        writer,
+        progress,
+        isComplete: isWhole,
+        expiresAt,
+        characters: size,
+      });
+      while (characters > MAX_CHARACTERS && texts.size > 1) evictOldest();
     },
     evictExpired,
     get: (item: string): PartialText | undefined => texts.get(item),
-    remove: (item: string): void => {
-      texts.delete(item);
-    },
+    remove,
   };
 };
 
--- a/packages/batches/src/newRequestReader.ts
+++ b/packages/batches/src/newRequestReader.ts
@@ -1,84 +1,173 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
-import { restore } from '@cyclamengate/common/restore';
-import { z } from 'zod';
-import { itemSchema } from './batchRecord.js';
-import type { Item, TextPlace } from './batchRecord.js';
+import type { MemoryBudget, MemoryLease } from '@cyclamengate/common/newMemoryBudget';
 import mapById from './mapById.js';
+import type { Item, ItemRequest, TextPlace } from './batchRecord.js';
+import { MAX_HELD_BYTES } from './newBatchIntake.js';
 import type { BatchState } from './newBatchState.js';
+import newSegmentCache from './newSegmentCache.js';
 import type { Texts } from './newTexts.js';
+import { bodyBytes, parseSegment, toItem, toItemRequest } from './requestSegment.js';
+import { textBytes } from './textRecords.js';
 
 /** The requests of a step are about 150 KB and are read in tens of milliseconds. */
 const READ_TIMEOUT_MS = 700;
+/** Rate at which a segment is read at least, over a slow link that others share. */
+const MIN_BYTES_PER_MS = 1_000;
 /** Delay before a failed read is retried. */
 const RETRY_DELAY_MS = 100;
+/** The records of a segment are held beside the bytes that they are joined to. */
+const COPIES_WHILE_READING = 2;
 
-const itemsSchema = z.array(itemSchema);
+/** The request of an item for as long as it is needed. */
+export interface LoadedRequest {
+  request: ItemRequest;
+  /** Gives its memory back. */
+  release: () => void;
+}
+
+/** A segment that was read; it is cached unless it is too large. */
+interface ReadSegment {
+  items: Map<string, ItemRequest>;
+  lease: MemoryLease;
+}
 
 export interface RequestReaderOptions {
   clock: Clock;
   log: EventLog;
-  readTexts: Texts['read'];
+  memory: MemoryBudget;
+  readTexts: Texts['readBytes'];
 }
 
-const parseItems = (text: string): Item[] | null => {
-  try {
-    const restored = restore(itemsSchema, JSON.parse(text));
-    return restored.ok ? restored.val : null;
-  } catch {
-    return null;
-  }
-};
+/** A request whose bodies share no memory with its segment, which may be evicted meanwhile. */
+const copyRequest = ({ body, scoring, ...fields }: ItemRequest): ItemRequest => ({
+  ...fields,
+  body: Buffer.from(body),
+  scoring: scoring && { ...scoring, body: Buffer.from(scoring.body) },
+});
 
 /**
- * Reads the items of batches with their requests, for the host that runs them or is asked for one.
+ * Reads the requests of items for the host that runs them or is asked for one.
  *
  * Requests are nine tenths of what is written for a batch. If they were in the topic that all hosts
  * follow, each host would read and parse what only one of them needs, and hosts that start together
- * would share the store's bandwidth for seconds before any of them knew a batch.
+ * would share the store's bandwidth for seconds before any of them knew a batch. Even the host that
+ * runs a batch reads a large one segment by segment, since it can't hold the whole.
  */
-const newRequestReader = ({ clock, log, readTexts }: RequestReaderOptions) => {
-  const pendingReads = new Map<string, Promise<Map<string, Item> | null>>();
+const newRequestReader = ({ clock, log, memory, readTexts }: RequestReaderOptions) => {
+  const cache = newSegmentCache(memory);
+  const pendingReads = new Map<string, Promise<ReadSegment | null>>();
   const retryAt = new Map<string, number>();
 
-  const read = async (state: BatchState, place: TextPlace): Promise<Map<string, Item> | null> => {
-    const { id } = state.batch;
-    const [text] = await readTexts([place], clock.now() + READ_TIMEOUT_MS);
-    const items = text === undefined ? null : parseItems(text);
-    pendingReads.delete(id);
+  const isCacheable = (place: TextPlace): boolean => textBytes(place) <= cache.maxBytes;
+
+  const readSegment = async (place: TextPlace): Promise<ReadSegment | null> => {
+    const bytes = textBytes(place);
+    const lease = memory.reserve('items', COPIES_WHILE_READING * bytes);
+    if (!lease) return null;
+    const deadline = clock.now() + READ_TIMEOUT_MS + bytes / MIN_BYTES_PER_MS;
+    const [segment] = await readTexts([place], deadline);
+    const items = segment === undefined ? null : parseSegment(segment);
     if (items === null) {
-      retryAt.set(id, clock.now() + RETRY_DELAY_MS);
-      log.warn('batch.requests-unread', { batch: id, place, isRead: text !== undefined });
+      lease.release();
+      return null;
+    }
+    lease.resize(bytes);
+    return { items: mapById(items), lease };
+  };
+
+  const read = async (
+    key: string,
+    state: BatchState,
+    place: TextPlace,
+  ): Promise<ReadSegment | null> => {
+    const segment = await readSegment(place);
+    pendingReads.delete(key);
+    if (segment === null) {
+      retryAt.set(key, clock.now() + RETRY_DELAY_MS);
+      log.warn('batch.requests-unread', { batch: state.batch.id, place });
       return null;
     }
-    retryAt.delete(id);
-    const requests = mapById(items);
+    retryAt.delete(key);
     // No item of an ended batch runs, so retaining its requests would only use memory.
-    if (!state.isEnded) state.requests = requests;
-    return requests;
+    if (state.isEnded || !isCacheable(place)) return segment;
+    cache.put(key, { ...segment, bytes: textBytes(place) });
+    return segment;
   };
 
-  const startRead = (state: BatchState): Promise<Map<string, Item> | null> => {
-    const { id } = state.batch;
-    const pendingRead = pendingReads.get(id);
+  const startRead = (state: BatchState, number: number): Promise<ReadSegment | null> => {
+    const key = `${state.batch.id}/${number}`;
+    const pendingRead = pendingReads.get(key);
     if (pendingRead) return pendingRead;
-    const isTooSoon = clock.now() < (retryAt.get(id) ?? -Infinity);
-    if (!state.requestsPlace || isTooSoon) return Promise.resolve(null);
-    const started = read(state, state.requestsPlace);
-    pendingReads.set(id, started);
+    const place = state.segments[number];
+    const isTooSoon = clock.now() < (retryAt.get(key) ?? -Infinity);
+    if (!place || isTooSoon) return Promise.resolve(null);
+    const started = read(key, state, place);
+    // Each reader of a large segment holds one of its own, and gives it back by itself.
+    if (isCacheable(place)) pendingReads.set(key, started);
     return started;
   };
 
+  /** Hands out a request of a segment that stays in the cache, or may have been evicted. */
+  const lend = (request: ItemRequest): LoadedRequest | null => {
+    const lease = memory.reserve('items', bodyBytes(request));
+    return lease && { request: copyRequest(request), release: lease.release };
+  };
+
+  const loadFromStore = async (state: BatchState, id: string): Promise<LoadedRequest | null> => {
+    const number = state.items.get(id)?.segment ?? 0;
+    const place = state.segments[number];
+    const cached = cache.get(`${state.batch.id}/${number}`)?.get(id);
+    if (cached) return lend(cached);
+    const segment = await startRead(state, number);
+    const request = segment?.items.get(id);
+    if (!segment || !request || !place) return null;
+    if (!isCacheable(place)) return { request, release: segment.lease.release };
+    const lent = lend(request);
+    // Others that waited for the same read have copies as well.
+    if (state.isEnded) segment.lease.release();
+    return lent;
+  };
+
+  const loadSegment = async (
+    state: BatchState,
+    number: number,
+  ): Promise<ReadonlyMap<string, ItemRequest> | null> =>
+    cache.get(`${state.batch.id}/${number}`) ?? (await startRead(state, number))?.items ?? null;
+
+  /** All items of a batch as they are handed to another host; null if they can't be now. */
+  const loadAll = async (state: BatchState): Promise<Item[] | null> => {
+    if (state.requests) return [...state.requests.values()];
+    const { segments } = state;
+    const bytes = segments.reduce((sum, place) => sum + textBytes(place), 0);
+    if (segments.length === 0 || bytes > MAX_HELD_BYTES) return null;
+    const read = await Promise.all(segments.map((_, number) => loadSegment(state, number)));
+    const items = read.flatMap((segment) => (segment ? [...segment.values()].map(toItem) : []));
+    return items.length === state.items.size ? items : null;
+  };
+
   return {
-    /** Whether a batch's requests are loaded; starts to read them if they are not. */
+    loadAll,
+    /**
+     * Whether the items of a batch can be started without a wait; starts to read their requests if
+     * not. Those of a batch with several segments are read item by item.
+     */
     isLoaded: (state: BatchState): boolean => {
-      if (state.requests) return true;
-      startRead(state);
+      const [place, ...others] = state.segments;
+      if (state.requests || others.length > 0) return true;
+      if (!place || cache.has(`${state.batch.id}/0`)) return place !== undefined;
+      if (!isCacheable(place)) return true;
+      startRead(state, 0);
       return false;
     },
-    /** A batch's items with their requests; null if they cannot be read now. */
-    read: async (state: BatchState): Promise<Map<string, Item> | null> =>
-      state.requests ?? startRead(state),
+    /** Discards the requests of a batch that has ended or of which all items are finished. */
+    forget: ({ batch, segments }: BatchState): void =>
+      segments.forEach((_, number) => cache.remove(`${batch.id}/${number}`)),
+    /** The request of an item; null if it can't be read, or held, now. */
+    load: async (state: BatchState, id: string): Promise<LoadedRequest | null> => {
+      const held = state.requests?.get(id);
+      return held ? { request: toItemRequest(held), release: () => {} } : loadFromStore(state, id);
+    },
   };
 };
 
--- a/packages/batches/src/newResultPages.ts
+++ b/packages/batches/src/newResultPages.ts
@@ -1,6 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { ItemResult } from './batchRecord.js';
 import type { Texts } from './newTexts.js';
+import { textBytes } from './textRecords.js';
 
 const MAX_PAGE_BYTES = 900_000;
 /** Size of a result without its text. */
@@ -27,7 +28,7 @@
   let bytes = 0;
   const rest = results.slice(from);
   const end = rest.findIndex(({ text }, index) => {
-    bytes += (text?.bytes ?? 0) + RESULT_OVERHEAD_BYTES;
+    bytes += textBytes(text) + RESULT_OVERHEAD_BYTES;
     return index > 0 && bytes > MAX_PAGE_BYTES;
   });
   return end === -1 ? rest : rest.slice(0, end);
@@ -35,6 +36,9 @@
 
 /** Reads pages of a batch's results, with their texts from the store. */
 const newResultPages = ({ clock, readTexts }: ResultPagesOptions) => ({
+  /** Size of the texts of the page at a position. */
+  countBytes: (all: ItemResult[], from: number): number =>
+    takePage(all, from).reduce((sum, { text }) => sum + textBytes(text) + RESULT_OVERHEAD_BYTES, 0),
   /**
    * @returns what can be read now; null if there are results but none of their texts can be read
    */
--- a/packages/batches/src/newRunEndHandler.ts
+++ b/packages/batches/src/newRunEndHandler.ts
@@ -78,6 +78,7 @@
         repeat(task, end.isUnreachable ? 'crash' : 'refused');
         return;
       case 'held':
+      case 'unread':
         requeue(task, end.retryAt - clock.now());
         return;
       case 'interrupted':
--- a/packages/batches/src/newTaskList.ts
+++ b/packages/batches/src/newTaskList.ts
@@ -1,6 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
-import type { Item, ItemHead, ItemResult, TextPlace } from './batchRecord.js';
+import type { ItemHead, ItemResult, TextPlace } from './batchRecord.js';
 import type { BatchState, EarlierText } from './newBatchState.js';
 import estimateRest from './estimateRest.js';
 import { meetsMinVersion, newProgress } from './progress.js';
@@ -10,6 +10,11 @@
 const TOKENS_PER_EVENT = 63;
 /** Number of unfinished texts that are retained after their batch has ended; about 10 KB each. */
 const MAX_RETAINED_TEXTS = 400;
+const MAX_RETAINED_CHARACTERS = 8_000_000;
+/** A host with more open items takes up the rest as these are finished. */
+const MAX_TASKS = 20_000;
+/** Groups of which the first batch is known. */
+const MAX_GROUPS = 50_000;
 
 /** An item's result without the identifiers of its batch and item. */
 export type ItemOutcome = Omit<ItemResult, 'type' | 'batch' | 'item'>;
@@ -18,9 +23,7 @@
 export interface ItemTask {
   key: string;
   state: BatchState;
-  item: Item;
-  /** Digest of the item's request. */
-  digest: string;
+  item: ItemHead;
   /**
    * `unscored`: the text is complete, here or in the log, and has yet to be scored; `unwritten`:
    * the result waits until its batch is in the log.
@@ -61,27 +64,46 @@
   findText: (item: string) => EarlierText | null;
 }
 
+interface RetainedText {
+  text: EarlierText;
+  /** Size when it was retained; another batch may continue the text. */
+  characters: number;
+}
+
 const taskKey = (state: BatchState, item: string): string => `${state.batch.id}/${item}`;
 
 /** Holds the items that this host has to run, with their progress. */
 const newTaskList = ({ clock, log, findText }: TaskListOptions) => {
   const tasks = new Map<string, ItemTask>();
   /** Unfinished texts of ended batches, whose groups may be sent again. */
-  const retainedTexts = new Map<string, EarlierText>();
+  const retainedTexts = new Map<string, RetainedText>();
+  let retainedCharacters = 0;
   const firstBatchByGroup = new Map<string, string>();
 
-  const retainText = ({ item, digest, progress, textCompletedAt, place }: ItemTask): void => {
+  const forgetText = (item: string): void => {
+    retainedCharacters -= retainedTexts.get(item)?.characters ?? 0;
+    retainedTexts.delete(item);
+  };
+
+  const isOverRetained = (): boolean =>
+    retainedTexts.size > MAX_RETAINED_TEXTS || retainedCharacters > MAX_RETAINED_CHARACTERS;
+
+  const retainText = ({ item, progress, textCompletedAt, place }: ItemTask): void => {
     if (progress.events.length === 0) return;
-    retainedTexts.delete(item.id);
-    retainedTexts.set(item.id, { digest, progress, isComplete: textCompletedAt !== null, place });
-    const [oldest] = retainedTexts.keys();
-    if (retainedTexts.size > MAX_RETAINED_TEXTS && oldest !== undefined)
-      retainedTexts.delete(oldest);
+    forgetText(item.id);
+    const isComplete = textCompletedAt !== null;
+    const characters = progress.events.reduce((sum, event) => sum + event.length, 0);
+    retainedTexts.set(item.id, {
+      text: { digest: item.digest, progress, isComplete, place },
+      characters,
+    });
+    retainedCharacters += characters;
+    while (isOverRetained()) forgetText(retainedTexts.keys().next().value ?? '');
   };
 
   /** Existing text for the same request, if its versions are new enough. */
   const findReusable = ({ id, digest }: ItemHead, minVersion: number): EarlierText | null => {
-    const retained = retainedTexts.get(id);
+    const retained = retainedTexts.get(id)?.text;
     const logged = findText(id);
     const isRetainedLonger =
       retained !== undefined &&
@@ -92,15 +114,19 @@
     return meetsMinVersion(text.progress, minVersion) ? text : null;
   };
 
-  const add = (state: BatchState, item: Item, head: ItemHead): ItemTask => {
-    const text = findReusable(head, state.batch.leastVersion);
+  const add = (state: BatchState, item: ItemHead): ItemTask => {
+    const text = findReusable(item, state.batch.leastVersion);
     const firstBatch = firstBatchByGroup.get(item.group) ?? state.batch.id;
+    firstBatchByGroup.delete(item.group);
     firstBatchByGroup.set(item.group, firstBatch);
+    const [oldest] = firstBatchByGroup.keys();
+    if (firstBatchByGroup.size > MAX_GROUPS && oldest !== undefined) {
+      firstBatchByGroup.delete(oldest);
+    }
     const task: ItemTask = {
       key: taskKey(state, item.id),
       state,
       item,
-      digest: head.digest,
       phase: text?.isComplete ? 'unscored' : 'waiting',
       progress: text?.progress ?? newProgress(),
       createdAt: clock.now(),
@@ -147,8 +173,7 @@
 
   return {
     /**
-     * Reconciles the tasks with the batches that are assigned to this host and whose requests are
-     * loaded.
+     * Reconciles the tasks with the batches that are assigned to this host.
      * @returns the new tasks
      */
     reconcile: (assigned: BatchState[]): ItemTask[] => {
@@ -159,10 +184,8 @@
       return assigned.flatMap((state) =>
         [...state.items.values()]
           .filter(({ id }) => !state.finished.has(id) && !tasks.has(taskKey(state, id)))
-          .flatMap((head) => {
-            const item = state.requests?.get(head.id);
-            return item ? [add(state, item, head)] : [];
-          }),
+          .slice(0, Math.max(0, MAX_TASKS - tasks.size))
+          .map((item) => add(state, item)),
       );
     },
     all: (): ItemTask[] => [...tasks.values()],
--- a/packages/batches/src/newTextReader.ts
+++ b/packages/batches/src/newTextReader.ts
@@ -6,7 +6,7 @@
 import type { TextPlace } from './batchRecord.js';
 import type { TextCache } from './newTextCache.js';
 import planTextRead from './planTextRead.js';
-import { recordKey, recordPlaces } from './textRecords.js';
+import { recordKey, recordPlaces, textBytes } from './textRecords.js';
 import type { RecordPlace } from './textRecords.js';
 
 /**
@@ -41,6 +41,9 @@
 
 const CONTINUE: CallOutcome = { type: 'go-on' };
 
+/** Texts larger than this are not cached, since they would evict all others. */
+const MAX_CACHED_TEXT_BYTES = 1_000_000;
+
 export interface TextReaderOptions {
   clock: Clock;
   log: EventLog;
@@ -54,6 +57,7 @@
   hasFirstText: () => boolean;
   deadline: number;
   bodies: Map<string, Buffer>;
+  isCached: boolean;
   missing: RecordPlace[];
   maxKb: number;
   mayStartEarlier: boolean;
@@ -65,10 +69,10 @@
 const hasRecord = (bodies: Map<string, Buffer>, record: RecordPlace): boolean =>
   bodies.get(recordKey(record))?.length === record.bytes;
 
-const joinText = (bodies: Map<string, Buffer>, place: TextPlace | null): string =>
+const joinText = (bodies: Map<string, Buffer>, place: TextPlace | null): Buffer =>
   Buffer.concat(
     recordPlaces(place).map((record) => bodies.get(recordKey(record)) ?? Buffer.alloc(0)),
-  ).toString();
+  );
 
 /** Reads texts from the store or from the cache. */
 const newTextReader = ({ clock, log, store, cache }: TextReaderOptions) => {
@@ -117,7 +121,7 @@
     records.forEach(({ offset, body }) => {
       state.bytes += body.length;
       state.bodies.set(recordKey({ topic, offset }), body);
-      cache.put(topic, offset, body);
+      if (state.isCached) cache.put(topic, offset, body);
     });
     state.mayStartEarlier = hasRecord(state.bodies, first);
     const isFast = clock.now() < startedAt + FAST_READ_MS;
@@ -162,6 +166,7 @@
       hasFirstText: () => firstRecords.every((record) => hasRecord(bodies, record)),
       deadline,
       bodies,
+      isCached: places.every((place) => textBytes(place) <= MAX_CACHED_TEXT_BYTES),
       missing: records.filter((record) => !hasRecord(bodies, record)),
       maxKb: INITIAL_READ_KB,
       mayStartEarlier: false,
@@ -180,7 +185,7 @@
    * @param deadline on the monotonic clock; exceeded by up to 0.6 s if no text is available yet
    * @returns the available texts in the same order, up to the first one that is missing
    */
-  return async (places: (TextPlace | null)[], deadline: number): Promise<string[]> => {
+  return async (places: (TextPlace | null)[], deadline: number): Promise<Buffer[]> => {
     const startedAt = clock.now();
     const state = newReadState(places, deadline);
     const { bodies } = state;
--- a/packages/batches/src/newTexts.ts
+++ b/packages/batches/src/newTexts.ts
@@ -4,10 +4,10 @@
 import newStoreWriter from '@cyclamengate/store/newStoreWriter';
 import type { StoreWriter } from '@cyclamengate/store/newStoreWriter';
 import type Store from '@cyclamengate/store/Store';
-import type { TextPlace } from './batchRecord.js';
+import type { TextPlace, TextRun } from './batchRecord.js';
 import newTextCache from './newTextCache.js';
 import newTextReader from './newTextReader.js';
-import { splitText } from './textRecords.js';
+import { joinRuns, splitIntoAppends, splitIntoRecords } from './textRecords.js';
 
 /**
  * Texts of one batch share a topic; those of concurrent batches are mostly in different topics, so
@@ -23,8 +23,9 @@
   producer: string;
 }
 
-const topicForBatch = (batch: string): string =>
-  `texts-${Number.parseInt(digest(batch).slice(0, 4), 16) % TOPIC_COUNT}`;
+/** @param part parts of a large text follow in the next topics, so that they are written at once */
+const topicForBatch = (batch: string, part: number): string =>
+  `texts-${(Number.parseInt(digest(batch).slice(0, 4), 16) + part) % TOPIC_COUNT}`;
 
 /**
  * Stores complete texts of items separately from the records that all hosts follow.
@@ -37,6 +38,7 @@
 const newTexts = ({ clock, log, store, producer }: TextsOptions) => {
   const writers = new Map<string, StoreWriter>();
   const cache = newTextCache();
+  const reader = newTextReader({ clock, log, store, cache });
 
   const getWriter = (topic: string): StoreWriter => {
     const known = writers.get(topic);
@@ -46,22 +48,60 @@
     return created;
   };
 
-  /** @returns the location of the text; null if it is not known by the deadline */
+  const writeRecords = async (
+    topic: string,
+    records: Buffer[],
+    deadline: number,
+  ): Promise<TextRun | null> => {
+    const { offset } = await getWriter(topic).writeWithOffset(records, deadline);
+    if (offset === null) return null;
+    const bytes = records.reduce((sum, record) => sum + record.length, 0);
+    return { topic, offset, count: records.length, bytes };
+  };
+
+  /**
+   * Writes bytes that fit into one append and that this host is unlikely to read soon.
+   * @param part number of the part within what is written for the batch
+   * @returns the location of the bytes; null if it is not known by the deadline
+   */
+  const writePart = (
+    batch: string,
+    part: number,
+    bytes: Buffer,
+    deadline: number,
+  ): Promise<TextRun | null> =>
+    writeRecords(topicForBatch(batch, part), splitIntoRecords(bytes), deadline);
+
+  /**
+   * Writes a text, in several appends if it is too large for one.
+   * @returns the location of the text; null if it is not known by the deadline
+   */
   const write = async (
     batch: string,
-    text: string,
+    text: string | Buffer,
     deadline: number,
   ): Promise<TextPlace | null> => {
-    const topic = topicForBatch(batch);
-    const pieces = splitText(text);
-    const { offset } = await getWriter(topic).writeWithOffset(pieces, deadline);
-    if (offset === null) return null;
-    pieces.forEach((piece, index) => cache.put(topic, offset + index, piece));
-    const bytes = pieces.reduce((sum, piece) => sum + piece.length, 0);
-    return { topic, offset, count: pieces.length, bytes };
+    const topic = topicForBatch(batch, 0);
+    const runs: TextRun[] = [];
+    for (const part of splitIntoAppends(Buffer.from(text))) {
+      const records = splitIntoRecords(part);
+      const run = await writeRecords(topic, records, deadline);
+      if (run === null) return null;
+      records.forEach((record, index) => cache.put(topic, run.offset + index, record));
+      runs.push(run);
+    }
+    const [first, ...rest] = runs;
+    return first ? joinRuns([first, ...rest]) : null;
   };
 
-  return { write, read: newTextReader({ clock, log, store, cache }) };
+  return {
+    write,
+    writePart,
+    /** Reads texts; see `newTextReader`. */
+    read: async (places: (TextPlace | null)[], deadline: number): Promise<string[]> =>
+      (await reader(places, deadline)).map((bytes) => bytes.toString()),
+    readBytes: reader,
+  };
 };
 
 export type Texts = ReturnType<typeof newTexts>;
--- a/packages/batches/src/recordPieces.ts
+++ b/packages/batches/src/recordPieces.ts
@@ -26,10 +26,21 @@
 
 const isPiece = (raw: unknown): boolean => (raw as { type?: unknown } | null)?.type === 'piece';
 
-/** Reassembles records that were split into pieces. The pieces of one append are consecutive. */
+/** Records of which pieces were read; the writer of an older one has died before it wrote the rest. */
+const MAX_INCOMPLETE = 64;
+
+/**
+ * Reassembles records that were split into pieces. The pieces of a record are in order, though
+ * others may lie between them.
+ */
 export const newRecordAssembler = () => {
   const incomplete = new Map<string, Buffer[]>();
 
+  const evictOldest = (): void => {
+    const [oldest] = incomplete.keys();
+    if (oldest !== undefined && incomplete.size > MAX_INCOMPLETE) incomplete.delete(oldest);
+  };
+
   return (raw: unknown): unknown => {
     // Most records are not pieces, and a schema that rejects them builds a list of problems each
     // time.
@@ -40,6 +51,7 @@
     const pieces = index === 0 ? [] : (incomplete.get(id) ?? []);
     pieces.push(Buffer.from(data, 'base64'));
     incomplete.set(id, pieces);
+    evictOldest();
     if (pieces.length < count || index < count - 1) return null;
     incomplete.delete(id);
     try {
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -5,7 +5,7 @@
 import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamAnswer, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
-import readAnswerBody from '@cyclamengate/gateway/readAnswerBody';
+import { discardAnswerBody } from '@cyclamengate/gateway/readAnswerBody';
 import type { EventReader } from './EventReader.js';
 import type { RepeatCause } from './newRepeatCounter.js';
 import type { Progress } from './progress.js';
@@ -31,6 +31,8 @@
   | { type: 'not-run'; reason: string; isUnreachable: boolean }
   /** Not sent, since engines ended while they ran the item; `retryAt` is on the monotonic clock. */
   | { type: 'held'; retryAt: number }
+  /** Not sent, since its request can't be read, or held, now; `retryAt` as above. */
+  | { type: 'unread'; retryAt: number }
   /** The engine ran the item and failed. */
   | { type: 'failed'; status: number }
   /** The engine reports that the item can never succeed. */
@@ -132,7 +134,7 @@
       return readEvents(answer);
     }
     // Only a connection whose answer has been read to its end can carry the next request.
-    await readAnswerBody(answer);
+    await discardAnswerBody(answer);
     return answer.status === 422
       ? { type: 'impossible' }
       : { type: 'failed', status: answer.status };
--- a/packages/batches/src/storeBatch.ts
+++ b/packages/batches/src/storeBatch.ts
@@ -1,14 +1,12 @@
 import type Clock from '@cyclamengate/common/Clock';
 import sleepUntilCaughtUp from '@cyclamengate/common/sleepUntilCaughtUp';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
-import type { Batch } from './batchRecord.js';
-import type { BatchWriter } from './newBatchWriter.js';
 import type { Batches } from './newBatches.js';
 
-export interface StoreBatchOptions {
+export interface StoreBatchOptions<StoredBatch> {
   clock: Clock;
   batches: Pick<Batches, 'get' | 'onChange'>;
-  write: BatchWriter['write'];
+  write: (batch: StoredBatch, deadline: number) => Promise<WriteOutcome>;
 }
 
 /**
@@ -18,9 +16,9 @@
  * store is available. This host's own write may then still wait for a response that was lost in the
  * outage, and the caller would get an unknown outcome for a batch that every host can read.
  */
-const storeBatch = async (
-  { clock, batches, write }: StoreBatchOptions,
-  batch: Batch,
+const storeBatch = async <StoredBatch extends { id: string }>(
+  { clock, batches, write }: StoreBatchOptions<StoredBatch>,
+  batch: StoredBatch,
   deadline: number,
 ): Promise<WriteOutcome> => {
   const observed = new AbortController();
--- a/packages/batches/src/textRecords.ts
+++ b/packages/batches/src/textRecords.ts
@@ -1,7 +1,12 @@
-import type { TextPlace } from './batchRecord.js';
+import type { TextPlace, TextRun } from './batchRecord.js';
 
 /** The store limits records to 262,144 bytes. */
 const MAX_RECORD_BYTES = 250_000;
+/** Records of one append; the store limits the records of a call to 2 MiB. */
+const MAX_RECORDS_PER_APPEND = 4;
+
+/** Bytes of a text that one append holds at most. */
+export const MAX_APPEND_TEXT_BYTES = MAX_RECORD_BYTES * MAX_RECORDS_PER_APPEND;
 
 /** Location of one record of a text. */
 export interface RecordPlace {
@@ -13,19 +18,35 @@
 export const recordKey = ({ topic, offset }: Pick<RecordPlace, 'topic' | 'offset'>): string =>
   `${topic}/${offset}`;
 
-/** Splits a text into records that are appended together. */
-export const splitText = (text: string): Buffer[] => {
-  const encoded = Buffer.from(text);
-  const count = Math.max(1, Math.ceil(encoded.length / MAX_RECORD_BYTES));
-  return Array.from({ length: count }, (_, index) =>
-    encoded.subarray(index * MAX_RECORD_BYTES, (index + 1) * MAX_RECORD_BYTES),
+const splitBytes = (bytes: Buffer, partBytes: number): Buffer[] =>
+  Array.from({ length: Math.max(1, Math.ceil(bytes.length / partBytes)) }, (_, index) =>
+    bytes.subarray(index * partBytes, (index + 1) * partBytes),
   );
-};
 
-/** Locations of the records of a text, as split by `splitText`; none if there is no text. */
+/** Splits bytes into parts of which each fits into one append. */
+export const splitIntoAppends = (bytes: Buffer): Buffer[] =>
+  splitBytes(bytes, MAX_APPEND_TEXT_BYTES);
+
+/** Splits bytes into the records of one append. */
+export const splitIntoRecords = (bytes: Buffer): Buffer[] => splitBytes(bytes, MAX_RECORD_BYTES);
+
+const runsOf = (place: TextPlace | null): TextRun[] =>
+  place === null ? [] : [place, ...(place.rest ?? [])];
+
+/** Joins the runs of a text into its location. */
+export const joinRuns = ([first, ...rest]: [TextRun, ...TextRun[]]): TextPlace =>
+  rest.length === 0 ? first : { ...first, rest };
+
+/** Size of a stored text. */
+export const textBytes = (place: TextPlace | null): number =>
+  runsOf(place).reduce((sum, { bytes }) => sum + bytes, 0);
+
+/** Locations of the records of a text, as split by `splitIntoRecords`; none if there is no text. */
 export const recordPlaces = (place: TextPlace | null): RecordPlace[] =>
-  Array.from({ length: place?.count ?? 0 }, (_, index) => ({
-    topic: place?.topic ?? '',
-    offset: (place?.offset ?? 0) + index,
-    bytes: Math.min(MAX_RECORD_BYTES, (place?.bytes ?? 0) - index * MAX_RECORD_BYTES),
-  }));
+  runsOf(place).flatMap(({ topic, offset, count, bytes }) =>
+    Array.from({ length: count }, (_, index) => ({
+      topic,
+      offset: offset + index,
+      bytes: Math.min(MAX_RECORD_BYTES, bytes - index * MAX_RECORD_BYTES),
+    })),
+  );
--- a/packages/batches/tests/helpers.ts
+++ b/packages/batches/tests/helpers.ts
@@ -1,7 +1,10 @@
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
-import type { Batch, Item } from '../src/batchRecord.js';
+import type { Batch, BatchHead, Item } from '../src/batchRecord.js';
 import type { EventReader, StreamEvent } from '../src/EventReader.js';
+import newBatchHead from '../src/newBatchHead.js';
+import newSegmentBuilder from '../src/newSegmentBuilder.js';
+import { toItemRequest } from '../src/requestSegment.js';
 
 export const silentLog = { info: () => {}, warn: () => {}, error: () => {} };
 
@@ -31,6 +34,27 @@
   ...changes,
 });
 
+/** The head of a batch whose segments are at the offsets that number them, and these segments. */
+export const newStoredBatch = (batch: Batch): { head: BatchHead; segments: Buffer[] } => {
+  const parts: Buffer[][] = [];
+  const builder = newSegmentBuilder({
+    onPart: (segment, part) => {
+      (parts[segment] ??= []).push(part);
+    },
+  });
+  batch.items.map(toItemRequest).forEach(builder.addRequest);
+  const heads = builder.end();
+  const segments = parts.map((list) => Buffer.concat(list));
+  const places = segments.map(({ length }, offset) => ({
+    topic: 'texts-1',
+    offset,
+    count: 1,
+    bytes: length,
+  }));
+  const { items: _items, type: _type, ...fields } = batch;
+  return { head: newBatchHead(fields, heads, places), segments };
+};
+
 export const newEntry = (id: string, changes: Partial<UpstreamEntry> = {}): UpstreamEntry => ({
   id,
   service: 'models',
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -6,6 +6,7 @@
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
 import newMetrics from '@cyclamengate/common/newMetrics';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import newTestMemory from '@cyclamengate/fakes/newTestMemory';
 import newSettingsView from '@cyclamengate/gateway/newSettingsView';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
 import type { Handover, ItemResult } from '../src/batchRecord.js';
@@ -134,7 +135,12 @@
       observed.handovers.push(handover);
       return 'host-2';
     },
-    requests: newRequestReader({ clock, log: silentLog, readTexts: async () => [] }),
+    requests: newRequestReader({
+      clock,
+      log: silentLog,
+      memory: newTestMemory(),
+      readTexts: async () => [],
+    }),
   });
   const end = new AbortController();
   const running = runner.run(end.signal);
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -1,12 +1,13 @@
 import { once } from 'node:events';
 import type { AddressInfo } from 'node:net';
 import newSystemClock from '@cyclamengate/common/newSystemClock';
+import newTestMemory from '@cyclamengate/fakes/newTestMemory';
 import type { UpstreamCrash } from '@cyclamengate/engines/upstreamCrash';
 import type { Handover } from '../src/batchRecord.js';
 import newPeers from '../src/newPeers.js';
 import type { Peer } from '../src/newPeers.js';
 import newPeerServer from '../src/newPeerServer.js';
-import type { BatchExecutor } from '../src/peerRouter.js';
+import type { BatchExecutor, PeerService } from '../src/peerRouter.js';
 import { newBatch, newItem, silentLog } from './helpers.js';
 
 const clock = newSystemClock();
@@ -21,7 +22,7 @@
   const announced: string[] = [];
   const executorReports: string[] = [];
   const crashesHere: UpstreamCrash[] = [];
-  const server = newPeerServer({
+  const service: PeerService = {
     keep: async () => 'written',
     begin: ({ id }) => {
       if (acceptsWork) begun.add(id);
@@ -49,7 +50,8 @@
     findNewerSettings: (version) => (version < 2 ? 'version 2' : null),
     listEvacuations: () => [{ failureDomain: 'detroit', isEvacuated: true, offset: 7 }],
     touch: async () => (acceptsWork ? 'steady' : 'none'),
-  });
+  };
+  const server = newPeerServer(service, newTestMemory());
   const [answer] = server.listeners('request') as ((...args: unknown[]) => void)[];
   server.removeAllListeners('request');
   server.on('request', (...args) => setTimeout(() => answer?.(...args), answerMs));
--- a/packages/engines/src/identifyRequest.ts
+++ b/packages/engines/src/identifyRequest.ts
@@ -1,4 +1,4 @@
-import digest from '@cyclamengate/common/digest';
+import { createHash } from 'node:crypto';
 import type { UpstreamRequest } from './UpstreamClient.js';
 
 const DIGEST_CHARACTERS = 16;
@@ -12,7 +12,11 @@
 }
 
 const shortDigest = (fields: unknown[], rest: Buffer = Buffer.alloc(0)): string =>
-  digest(Buffer.concat([Buffer.from(JSON.stringify(fields)), rest])).slice(0, DIGEST_CHARACTERS);
+  createHash('sha256')
+    .update(JSON.stringify(fields))
+    .update(rest)
+    .digest('hex')
+    .slice(0, DIGEST_CHARACTERS);
 
 /**
  * Identifies a request. A caller that sends a request again gives it a new id, possibly at another
--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -1,12 +1,14 @@
 import type { Homes } from '@cyclamengate/common/homes';
 import type Clock from '@cyclamengate/common/Clock';
+import { unlimitedLease } from '@cyclamengate/common/newMemoryBudget';
+import type { MemoryLease } from '@cyclamengate/common/newMemoryBudget';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { Paces } from '@cyclamengate/engines/newPaces';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
-import readAnswerBody from './readAnswerBody.js';
+import { readAnswerBody } from './readAnswerBody.js';
 
 /** Timers fire up to 1 ms early, and some fire late. */
 export const TIMER_SLACK_MS = 5;
@@ -34,6 +36,8 @@
   isIdempotent: boolean;
   maxUpstreams: number;
   deadline: number;
+  /** Counts the bodies of its answers. */
+  answerLease?: Pick<MemoryLease, 'grow'>;
   /** Minimum delay before a hedged request is sent, in milliseconds. */
   minHedgeDelayMs?: number;
   /** Upstreams whose last places are left to others; chosen only if there are no others. */
@@ -96,7 +100,10 @@
       }
       const { answer } = outcome;
       if (answer.load) loads.report(entry.id, answer.load);
-      const body = await readAnswerBody(answer);
+      const body = await readAnswerBody(answer, request.answerLease ?? unlimitedLease);
+      if (body.type === 'unheld') {
+        return { type: 'failed', reason: 'no memory for the answer', isSilent: false };
+      }
       if (body.type === 'truncated') {
         const reason = `answer broken off: ${body.reason}`;
         if (!signal.aborted) health.recordFailure(entry.id, reason);
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import { unlimitedLease } from '@cyclamengate/common/newMemoryBudget';
 import chooseUpstream from '@cyclamengate/engines/chooseUpstream';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import type { Health } from '@cyclamengate/engines/newHealth';
@@ -13,7 +14,7 @@
 import type { Candidates } from './newCandidates.js';
 import newEventSplitter from './newEventSplitter.js';
 import type { RelayedRequest } from './newPlainAttempt.js';
-import readAnswerBody from './readAnswerBody.js';
+import { readAnswerBody } from './readAnswerBody.js';
 import { answered } from './relayOutcome.js';
 import type { RelayOutcome } from './relayOutcome.js';
 import { notRunRefusal, uncertain, withRetryAt } from './refusal.js';
@@ -25,6 +26,9 @@
  * engine generates an event every 150 ms.
  */
 const CHUNK_TIMEOUT_MS = 1_200;
+/** Bytes that a caller has yet to read before its upstream is read on. */
+const MAX_UNSENT_BYTES = 65_536;
+const UNSENT_POLL_MS = 20;
 
 export interface StreamRelayOptions {
   clock: Clock;
@@ -70,6 +74,14 @@
     /** When the request may be sent again; null if it is not held. */
     let heldUntil: number | null = null;
 
+    /** A caller that reads slowly slows its upstream down instead of filling this host's memory. */
+    const waitUntilSent = async (onWait: () => void): Promise<void> => {
+      while (response.writableLength > MAX_UNSENT_BYTES && !signal.aborted) {
+        await clock.sleepUntil(clock.now() + UNSENT_POLL_MS, signal);
+        onWait();
+      }
+    };
+
     const relayEvents = async (
       answer: UpstreamAnswer,
       onChunk: () => void,
@@ -83,6 +95,7 @@
         const { bytes, lastId } = split(chunk);
         lastEventId = lastId ?? lastEventId;
         if (bytes.length > 0) response.write(bytes);
+        await waitUntilSent(onChunk);
       }
       return split(Buffer.alloc(0)).isBetweenEvents ? 'whole' : 'broken';
     };
@@ -114,9 +127,9 @@
       const { answer } = outcome;
       if (answer.load) loads.report(entry.id, answer.load);
       if (answer.status >= 300) {
-        const body = await readAnswerBody(answer);
+        const body = await readAnswerBody(answer, request.answerLease ?? unlimitedLease);
         lastReason = `status ${answer.status}`;
-        if (body.type === 'truncated') return 'broken';
+        if (body.type !== 'complete') return 'broken';
         failure = { answer, body: body.bytes, candidate };
         return 'failed';
       }
--- a/packages/store/src/newMemoryStore.ts
+++ b/packages/store/src/newMemoryStore.ts
@@ -19,6 +19,9 @@
 const BYTES_IN_KB = 1_024;
 /** Size of the length that precedes each record in a page. */
 const RECORD_HEADER_BYTES = 4;
+/** The largest record, and the largest call with the headers of its records, as on the platform. */
+const MAX_RECORD_BYTES = 262_144;
+const MAX_CALL_BYTES = 2_097_152;
 
 interface Topic {
   first: number;
@@ -59,6 +62,10 @@
 export const encodeKeyedBody = (key: string, value: string): Buffer =>
   Buffer.concat([Buffer.from([key.length]), Buffer.from(key), Buffer.from(value)]);
 
+const isTooLarge = (bodies: Buffer[]): boolean =>
+  bodies.some(({ length }) => length > MAX_RECORD_BYTES) ||
+  bodies.reduce((sum, { length }) => sum + length + RECORD_HEADER_BYTES, 0) > MAX_CALL_BYTES;
+
 const waitPollInterval = (): Promise<void> =>
   new Promise((resolve) => {
     setTimeout(resolve, POLL_INTERVAL_MS);
@@ -93,6 +100,7 @@
     bodies: Buffer[],
     { name: producer, epoch, sequence }: Producer,
   ): Result<Appended, StoreFault> => {
+    if (isTooLarge(bodies)) return Err({ type: 'rejected', reason: 'too large' });
     const topic = getOrCreateTopic(name);
     const known = topic.producers.get(producer);
     if (known && epoch < known.epoch) return Err({ type: 'fenced' });
--- a/packages/store/src/newStoreWriter.ts
+++ b/packages/store/src/newStoreWriter.ts
@@ -34,8 +34,31 @@
   producer: string;
 }
 
-const encodedBytes = ({ records }: Write): number =>
-  records.reduce((sum, record) => sum + record.length + 4, 0);
+const LENGTH_BYTES = 4;
+
+const encodedBytes = ({ records }: Pick<Write, 'records'>): number =>
+  records.reduce((sum, record) => sum + record.length + LENGTH_BYTES, 0);
+
+/** Splits records into parts of which each fits into one append. */
+const splitRecords = (records: Buffer[]): Buffer[][] => {
+  const parts: Buffer[][] = [];
+  let bytes = Number.POSITIVE_INFINITY;
+  records.forEach((record) => {
+    bytes += record.length + LENGTH_BYTES;
+    if (bytes > MAX_APPEND_BYTES) {
+      parts.push([]);
+      bytes = record.length + LENGTH_BYTES;
+    }
+    parts.at(-1)?.push(record);
+  });
+  return parts;
+};
+
+/** The outcome of a write in several appends: its records are of use only if all were written. */
+const joinOutcomes = (outcomes: WriteOutcome[]): WriteOutcome => {
+  if (outcomes.every((outcome) => outcome === 'written')) return 'written';
+  return outcomes.includes('not-written') ? 'not-written' : 'unknown';
+};
 
 /**
  * Writes records to one topic; records that are queued during an append share the next one.
@@ -44,7 +67,8 @@
  * Retrying it as a new append could store the records twice, or a caller could be told that stored
  * records were not written. So each append has a sequence number by which the store recognises a
  * retry, only one append is in flight at a time, and an unanswered append is retried unchanged
- * until it is answered. Writes whose deadline passes before that settle as `unknown`.
+ * until it is answered. Writes whose deadline passes before that settle as `unknown`. An append that
+ * the store refuses for good is given up at once, or nothing else would ever be written.
  */
 const newStoreWriter = (options: StoreWriterOptions) => {
   const { clock, log, store, topic, producer } = options;
@@ -119,6 +143,11 @@
       }
       if (failures === 0) log.warn('store.append-failed', { topic, fault: answer.val });
       failures += 1;
+      if (answer.val.type === 'rejected') {
+        log.error('store.append-rejected', { topic, fault: answer.val });
+        pending.forEach((write) => write.settle({ outcome: 'not-written', offset: null }));
+        return;
+      }
       isAmbiguous = isAmbiguous || answer.val.type === 'unknown';
       startNewEpoch(answer.val);
       pending = settleExpired(pending, isAmbiguous ? 'unknown' : 'not-written');
@@ -137,16 +166,25 @@
     isRunning = false;
   };
 
-  /**
-   * Writes records to consecutive offsets.
-   * @param deadline on the monotonic clock, in milliseconds
-   */
-  const writeWithOffset = (records: Buffer[], deadline: number): Promise<WriteResult> =>
+  const enqueue = (records: Buffer[], deadline: number): Promise<WriteResult> =>
     new Promise((settle) => {
       queue.push({ records, deadline, settle });
       run();
     });
 
+  /**
+   * Writes records to consecutive offsets; those that are too many for one append, in several, whose
+   * offsets need not be consecutive and are not returned.
+   * @param deadline on the monotonic clock, in milliseconds
+   */
+  const writeWithOffset = async (records: Buffer[], deadline: number): Promise<WriteResult> => {
+    const parts = splitRecords(records);
+    const [first] = parts;
+    if (first && parts.length === 1) return enqueue(first, deadline);
+    const results = await Promise.all(parts.map((part) => enqueue(part, deadline)));
+    return { outcome: joinOutcomes(results.map(({ outcome }) => outcome)), offset: null };
+  };
+
   return {
     writeWithOffset,
     write: async (records: Buffer[], deadline: number): Promise<WriteOutcome> =>
--- a/packages/store/src/storeFault.ts
+++ b/packages/store/src/storeFault.ts
@@ -2,6 +2,8 @@
 export type StoreFault =
   /** The store refused the call or could not be reached; the call was not executed. */
   | { type: 'not-done'; reason: string }
+  /** The store refuses the call for good, whatever it is asked again: it was not executed. */
+  | { type: 'rejected'; reason: string }
   /** Unanswered: the call may have been executed, or may still be executed seconds later. */
   | { type: 'unknown'; reason: string }
   /** The sequence number is not the one that the store expects next of this producer. */
