Answers that do not fit into memory are passed on as they arrive; large bodies get time

Seen in a trial: of four requests of 31 MB at once three got 502 though an upstream had answered, as their answers had no room. They are passed on now, no faster than the caller reads. Streams wait for slow callers too.

The tests: largeBodies.process.test.ts sends five shapes of bodies, several senders at once, large plain requests, and stops the host that runs a large batch.

A host with 210 MB accepted an item of 25 MB and never ran it: it was read with two copies.

--- a/apps/host/src/computeBodyBytes.ts
+++ b/apps/host/src/computeBodyBytes.ts
@@ -7,7 +7,7 @@
  */
 const OTHER_MB = 240;
 /** The largest body has to fit as well into a small machine, with some room beside it. */
-const MIN_BODIES_MB = 48;
+const MIN_BODIES_MB = 36;
 
 /**
  * How many bytes of bodies a host may hold.
--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -151,6 +151,7 @@
   ): Promise<Refusal | null> => {
     const startedAt = clock.now();
     const received = await receiveBatch({
+      memory,
       incoming,
       limitBytes,
       timeoutMs: BODY_TIMEOUT_MS,
--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { parseCallerRequest, refusalHeaders } from '@cyclamengate/adapter/callerRequest';
 import type { CallerRequest } from '@cyclamengate/adapter/callerRequest';
@@ -10,6 +11,7 @@
 import { announcedBytes, readBody } from '@cyclamengate/common/readBody';
 import type { BodyFault } from '@cyclamengate/common/readBody';
 import sendJsonAndClose from '@cyclamengate/common/sendJsonAndClose';
+import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import roundPace from '@cyclamengate/engines/roundPace';
 import { findCaller, findRoute, pickService } from '@cyclamengate/gateway/findRoute';
 import findHomes from '@cyclamengate/gateway/findHomes';
@@ -76,13 +78,52 @@
     return controller;
   };
 
-  const sendAnswer = (response: ServerResponse, outcome: RelayOutcome, request: CallerRequest) => {
+  /** Passes on what follows of an answer, no faster than its caller reads. */
+  const sendRest = async (
+    response: ServerResponse,
+    rest: AsyncIterable<Buffer>,
+    deadline: number,
+    controller: AbortController,
+  ): Promise<void> => {
+    const { signal } = controller;
+    const sent = new AbortController();
+    clock.sleepUntil(deadline, sent.signal).then(() => {
+      if (!sent.signal.aborted) controller.abort('deadline');
+    });
+    try {
+      for await (const chunk of rest) {
+        if (!response.write(chunk)) await once(response, 'drain', { signal });
+      }
+      response.end();
+    } catch (error) {
+      // Without an end, the caller can't take what it has for the whole answer.
+      response.destroy();
+      if (!(error instanceof TruncatedAnswer) && !signal.aborted) throw error;
+      log.warn('request.answer-cut', { error: (error as Error).message });
+    } finally {
+      sent.abort('over');
+    }
+  };
+
+  const sendAnswer = async (
+    response: ServerResponse,
+    outcome: RelayOutcome,
+    request: CallerRequest,
+    deadline: number,
+    controller: AbortController,
+  ): Promise<void> => {
     if (response.destroyed) return;
     if (outcome.type === 'refusal') {
       refuse(response, request, outcome.refusal);
       return;
     }
-    const { status, headers, body } = outcome.answer;
+    const { status, headers, body, rest } = outcome.answer;
+    if (rest !== null) {
+      response.writeHead(status, headers);
+      response.write(body);
+      await sendRest(response, rest, deadline, controller);
+      return;
+    }
     response.writeHead(status, {
       ...headers,
       'content-length': String(body.length),
@@ -131,7 +172,9 @@
       : await relay(relayed, findCallerClass(customerPriority, route.priority), controller.signal);
     const hasRun = outcome.type === 'answer' || outcome.hasRun;
     if (hasRun && customer !== null) meter.count(customer, startedAt);
-    if (!response.headersSent) sendAnswer(response, outcome, request);
+    if (!response.headersSent) {
+      await sendAnswer(response, outcome, request, relayed.deadline, controller);
+    }
     const tookMs = clock.now() - arrivedAt;
     metrics.observe('request', tookMs);
     metrics.count(`requests_${outcome.type === 'answer' ? 'answered' : 'failed'}`);
--- a/apps/host/src/receiveBatch.ts
+++ b/apps/host/src/receiveBatch.ts
@@ -3,11 +3,14 @@
 import type { SubmittedBatch } from '@cyclamengate/adapter/newBatchParser';
 import newBatchIntake from '@cyclamengate/batches/newBatchIntake';
 import type { BatchRequests, BatchIntakeOptions } from '@cyclamengate/batches/newBatchIntake';
+import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import { Err, Ok } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
 
 /** Every host holds the metadata of all items, and the one that runs them more than that. */
 const MAX_ITEMS = 16_384;
+/** Each byte that arrives is in turn part of a chunk, of a decoded part and of an append. */
+const BUFFERS_OF_CHUNK = 3;
 /** Metadata of the items of one batch. */
 const MAX_METADATA_CHARACTERS = 4_000_000;
 
@@ -31,6 +34,7 @@
 }
 
 export interface ReceiveOptions extends BatchIntakeOptions {
+  memory: Pick<MemoryBudget, 'noteFreed'>;
   incoming: IncomingMessage;
   limitBytes: number;
   timeoutMs: number;
@@ -41,7 +45,7 @@
 
 /** Receives the body of a batch, and stops at the first reason not to accept it. */
 const receive = async (
-  { incoming, limitBytes, writePart }: ReceiveOptions,
+  { memory, incoming, limitBytes, writePart }: ReceiveOptions,
   signal: AbortSignal,
 ): Promise<Result<ReceivedBatch, ReceiveFault>> => {
   const intake = newBatchIntake({ writePart });
@@ -71,6 +75,7 @@
     bytes += (chunk as Buffer).length;
     parser.push(chunk as Buffer);
     await intake.ready();
+    memory.noteFreed(BUFFERS_OF_CHUNK * (chunk as Buffer).length);
     const fault = signal.aborted ? newFault('too-slow') : findFault();
     if (fault) return fault;
   }
--- /dev/null
+++ b/apps/host/tests/largeBodies.process.test.ts
@@ -0,0 +1,221 @@
+import newPlatform, {
+  HOST_NAME,
+  MODEL,
+  newOperatorSettings,
+} from '@cyclamengate/app-platform-standin/newPlatform';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import { expectedTextOf, readAllResults, submit } from './batchHelpers.js';
+import { newHosts, send, sleep, waitUntil } from './newHosts.js';
+import type { Answer, TestHost } from './newHosts.js';
+import watchMemory from './watchMemory.js';
+
+const MAX_BODY_BYTES = 33_554_432;
+/** Memory beyond which the platform ends a host, and the flag with which it starts one. */
+const MEMORY_MB = 390;
+const NODE_FLAGS = ['--max-old-space-size=220'];
+const DOMAINS = ['detroit', 'cleveland', 'milwaukee'];
+/** How long the trainers of the smallest deployment wait for a batch to be accepted. */
+const ACCEPT_MS = 12_000;
+const SENDERS = 6;
+const LOOKUP_PAUSE_MS = 30;
+const GROUP_SIZE = 8;
+
+interface Shape {
+  items: number;
+  bodyBytes: number;
+  scoringBytes: number;
+}
+
+const SHAPES: Record<string, Shape> = {
+  'many items': { items: 512, bodyBytes: 45_000, scoringBytes: 0 },
+  'one item': { items: 1, bodyBytes: 24_900_000, scoringBytes: 10 },
+  'a few items': { items: 4, bodyBytes: 6_200_000, scoringBytes: 10 },
+  'scoring bodies': { items: 64, bodyBytes: 100, scoringBytes: 370_000 },
+  'both bodies': { items: 24, bodyBytes: 450_000, scoringBytes: 450_000 },
+};
+
+/** The bytes differ from item to item, so that a mix-up shows. */
+const newBytes = (size: number, index: number): Buffer => Buffer.alloc(size, `body ${index} `);
+
+const newBatchText = (name: string, { items, bodyBytes, scoringBytes }: Shape): string =>
+  JSON.stringify({
+    'train-step': 1,
+    model: MODEL,
+    'min-version': 1,
+    desired: Math.ceil(items / GROUP_SIZE),
+    entries: Array.from({ length: items }, (_, index) => ({
+      id: `${name}-${index}`,
+      path: `/rounds/${name}/${index}`,
+      headers: { Model: MODEL, 'Token-Count': '15000,1600' },
+      body: newBytes(bodyBytes, index).toString('base64'),
+      tokens: 16_600,
+      group: `${name}-g${Math.floor(index / GROUP_SIZE)}`,
+      scorer: {
+        id: `${name}-score-${index}`,
+        host: HOST_NAME,
+        path: `/lookup/score/${index}`,
+        body: newBytes(scoringBytes, index).toString('base64'),
+      },
+    })),
+  });
+
+/** Starts hosts with the memory of the smallest deployment, and watches that they keep to it. */
+const newSystem = async (t: ExecutionContext) => {
+  const platform = await newPlatform({ domains: DOMAINS, enginesPerDomain: 2 });
+  const settings = newOperatorSettings(2);
+  platform.publish('config', {
+    ...settings,
+    limits: { ...settings.limits, 'max-body-bytes': MAX_BODY_BYTES },
+  });
+  const system = await newHosts(platform, DOMAINS, undefined, {}, NODE_FLAGS);
+  const memory = watchMemory(system.hosts);
+  t.teardown(async () => {
+    memory.close();
+    await system.close();
+    await platform.close();
+  });
+  const checkHosts = (): void => {
+    system.hosts.forEach(({ child }) => t.is(child.exitCode ?? child.signalCode, null));
+    t.true(memory.peakMb() < MEMORY_MB, `at most ${Math.round(memory.peakMb())} MB`);
+  };
+  const [first, second, third] = system.hosts as [TestHost, TestHost, TestHost];
+  return { platform, system, first, second, third, checkHosts };
+};
+
+/** Sends small requests to each host in turn; @returns what ends them and gives their answers. */
+const startLookups = (hosts: TestHost[]): (() => Promise<Answer[]>) => {
+  const answers: Answer[] = [];
+  let isOver = false;
+  const run = async (): Promise<void> => {
+    for (let count = 0; !isOver; count += 1) {
+      const host = hosts[count % hosts.length] as TestHost;
+      answers.push(await send(host, 'GET', `/lookup/${count}`, { id: `lookup-${count}` }));
+      await sleep(LOOKUP_PAUSE_MS);
+    }
+  };
+  const running = run();
+  return async () => {
+    isOver = true;
+    await running;
+    return answers;
+  };
+};
+
+const isRefusedForNow = ({ status, headers }: Answer): boolean =>
+  status === 503 && Number(headers['retry-after']) > 0;
+
+/** Submits a batch, and again after the time that a host names, as trainers do. */
+const submitUntilAccepted = async (host: TestHost, id: string, text: string): Promise<Answer> => {
+  const answer = await submit(host, id, text);
+  if (!isRefusedForNow(answer)) return answer;
+  await sleep(Number(answer.headers['retry-after']) * 1_000);
+  return submitUntilAccepted(host, id, text);
+};
+
+test.serial('a batch as large as the operator allows is accepted, run and listed', async (t) => {
+  // Guards against hosts that exceed their memory and are ended: a batch of 31 MB ended each host that
+  // it reached, and was never accepted.
+  const { platform, system, first, second, third, checkHosts } = await newSystem(t);
+  const stopLookups = startLookups(system.hosts);
+  for (const [shape, sizes] of Object.entries(SHAPES)) {
+    const name = shape.replaceAll(' ', '-');
+    const text = newBatchText(name, sizes);
+    t.true(text.length <= MAX_BODY_BYTES && text.length > 0.8 * MAX_BODY_BYTES);
+    const startedAt = performance.now();
+    t.is((await submit(first, name, text)).status, 202, shape);
+    t.true(performance.now() - startedAt < ACCEPT_MS);
+    const page = await readAllResults(second, name);
+    t.is(page.total, sizes.items);
+    page.results.forEach(({ id, state, text: result }) => {
+      t.is(state, 'completed');
+      t.is(result, expectedTextOf(id));
+    });
+    platform.engines
+      .flatMap(({ runs }) => runs.splice(0))
+      .forEach(({ requestId, bytes }) => {
+        const index = Number(requestId.split('-').at(-1));
+        t.true(bytes.equals(newBytes(sizes.bodyBytes, index)), requestId);
+      });
+    t.is((await send(third, 'DELETE', `/v1/lots/${name}`)).status, 200);
+  }
+  const lookups = await stopLookups();
+  t.true(lookups.length > 20);
+  t.deepEqual(new Set(lookups.map(({ status }) => status)), new Set([200]));
+  checkHosts();
+});
+
+test.serial(
+  'large batches of several senders are accepted, or refused at once for now',
+  async (t) => {
+    // Guards against batches that are harmless one by one and end the host that takes them together.
+    const { first, second, checkHosts } = await newSystem(t);
+    const shapes = Object.values(SHAPES);
+    const names = Array.from({ length: SENDERS }, (_, index) => `b${index}`);
+    const answers = await Promise.all(
+      names.map((name, index) =>
+        submitUntilAccepted(
+          first,
+          name,
+          newBatchText(name, shapes[index % shapes.length] as Shape),
+        ),
+      ),
+    );
+    answers.forEach(({ status }) => t.is(status, 202));
+    for (const name of names) {
+      const { results, total } = await readAllResults(second, name);
+      t.is(results.length, total);
+    }
+    checkHosts();
+  },
+);
+
+test.serial(
+  'large requests of several callers are answered, or refused before they run',
+  async (t) => {
+    // Guards against hosts that hold the bodies of all requests that are waiting, and of their answers.
+    const { platform, system, first, checkHosts } = await newSystem(t);
+    const body = 'p'.repeat(30_000_000);
+    const stopLookups = startLookups(system.hosts.slice(1));
+    const answers = await Promise.all(
+      Array.from({ length: SENDERS }, (_, index) =>
+        send(first, 'POST', `/lookup/large-${index}`, { id: `large-${index}`, body }),
+      ),
+    );
+    const served = answers.filter(({ status }) => status === 200);
+    const refused = answers.filter(isRefusedForNow);
+    t.true(served.length > 0);
+    t.is(served.length + refused.length, SENDERS, answers.map(({ status }) => status).join(' '));
+    served.forEach((answer) => t.true(answer.body === body));
+    const runs = platform.plain.flatMap((upstream) =>
+      upstream.runs.filter(({ requestId }) => requestId.startsWith('large-')),
+    );
+    t.is(new Set(runs.map(({ requestId }) => requestId)).size, served.length);
+    t.deepEqual(new Set((await stopLookups()).map(({ status }) => status)), new Set([200]));
+    checkHosts();
+  },
+);
+
+test.serial(
+  'a large batch goes on at another host when the one that runs it is stopped',
+  async (t) => {
+    // Guards against handovers of a whole batch that end the host that sends or takes them.
+    const { platform, system, first, checkHosts } = await newSystem(t);
+    platform.engines.forEach(({ faults }) => Object.assign(faults, { slowdownFactor: 4 }));
+    const text = newBatchText('b', { items: 128, bodyBytes: 180_000, scoringBytes: 0 });
+    t.is((await submit(first, 'b', text)).status, 202);
+    const hasStarted = ({ events }: TestHost): boolean =>
+      events.some(({ event }) => event === 'item.started');
+    await waitUntil(() => system.hosts.some(hasStarted));
+    const runner = system.hosts.find(hasStarted) as TestHost;
+    await sleep(400);
+    const ended = runner.end('SIGTERM');
+    const reader = system.hosts.find((host) => host !== runner) as TestHost;
+    const { results } = await readAllResults(reader, 'b');
+    results.forEach(({ id, text: result }) => t.is(result, expectedTextOf(id)));
+    await ended;
+    t.is(runner.child.exitCode, 0);
+    system.hosts.splice(system.hosts.indexOf(runner), 1);
+    checkHosts();
+  },
+);
--- a/packages/batches/src/newItemScorer.ts
+++ b/packages/batches/src/newItemScorer.ts
@@ -67,6 +67,7 @@
       hostName: scoring.hostName,
       headers: {},
       body: scoring.body,
+      answerLease: null,
       customer: null,
       lastEventId: null,
       service,
--- a/packages/batches/src/newRequestReader.ts
+++ b/packages/batches/src/newRequestReader.ts
@@ -8,7 +8,7 @@
 import newSegmentCache from './newSegmentCache.js';
 import type { Texts } from './newTexts.js';
 import { bodyBytes, parseSegment, toItem, toItemRequest } from './requestSegment.js';
-import { textBytes } from './textRecords.js';
+import { MAX_APPEND_TEXT_BYTES, runsOf, textBytes } from './textRecords.js';
 
 /** The requests of a step are about 150 KB and are read in tens of milliseconds. */
 const READ_TIMEOUT_MS = 700;
@@ -16,7 +16,7 @@
 const MIN_BYTES_PER_MS = 1_000;
 /** Delay before a failed read is retried. */
 const RETRY_DELAY_MS = 100;
-/** The records of a segment are held beside the bytes that they are joined to. */
+/** The records of a run are held beside the bytes that they are joined to. */
 const COPIES_WHILE_READING = 2;
 
 /** The request of an item for as long as it is needed. */
@@ -61,13 +61,27 @@
 
   const isCacheable = (place: TextPlace): boolean => textBytes(place) <= cache.maxBytes;
 
+  /** Reads a segment run by run, so that a large one is held only once. */
+  const readRuns = async (place: TextPlace, bytes: number): Promise<Buffer | null> => {
+    const segment = Buffer.allocUnsafeSlow(bytes);
+    let at = 0;
+    for (const run of runsOf(place)) {
+      const deadline = clock.now() + READ_TIMEOUT_MS + run.bytes / MIN_BYTES_PER_MS;
+      const [read] = await readTexts([run], deadline);
+      if (read?.length !== run.bytes) return null;
+      at += read.copy(segment, at);
+      memory.noteFreed(COPIES_WHILE_READING * run.bytes);
+    }
+    return segment;
+  };
+
   const readSegment = async (place: TextPlace): Promise<ReadSegment | null> => {
     const bytes = textBytes(place);
-    const lease = memory.reserve('items', COPIES_WHILE_READING * bytes);
+    const bytesWhileReading = COPIES_WHILE_READING * Math.min(bytes, MAX_APPEND_TEXT_BYTES);
+    const lease = memory.reserve('items', bytes + bytesWhileReading);
     if (!lease) return null;
-    const deadline = clock.now() + READ_TIMEOUT_MS + bytes / MIN_BYTES_PER_MS;
-    const [segment] = await readTexts([place], deadline);
-    const items = segment === undefined ? null : parseSegment(segment);
+    const segment = await readRuns(place, bytes);
+    const items = segment && parseSegment(segment);
     if (items === null) {
       lease.release();
       return null;
@@ -85,7 +99,7 @@
     pendingReads.delete(key);
     if (segment === null) {
       retryAt.set(key, clock.now() + RETRY_DELAY_MS);
-      log.warn('batch.requests-unread', { batch: state.batch.id, place });
+      log.warn('batch.requests-unread', { segment: key, bytes: textBytes(place) });
       return null;
     }
     retryAt.delete(key);
@@ -141,8 +155,8 @@
     const { segments } = state;
     const bytes = segments.reduce((sum, place) => sum + textBytes(place), 0);
     if (segments.length === 0 || bytes > MAX_HELD_BYTES) return null;
-    const read = await Promise.all(segments.map((_, number) => loadSegment(state, number)));
-    const items = read.flatMap((segment) => (segment ? [...segment.values()].map(toItem) : []));
+    const loaded = await Promise.all(segments.map((_, number) => loadSegment(state, number)));
+    const items = loaded.flatMap((segment) => (segment ? [...segment.values()].map(toItem) : []));
     return items.length === state.items.size ? items : null;
   };
 
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -6,6 +6,7 @@
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamAnswer, UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
 import { discardAnswerBody } from '@cyclamengate/gateway/readAnswerBody';
+import computeTransferMs from '@cyclamengate/engines/computeTransferMs';
 import type { EventReader } from './EventReader.js';
 import type { RepeatCause } from './newRepeatCounter.js';
 import type { Progress } from './progress.js';
@@ -66,10 +67,11 @@
 const runOnce = async (options: RunOnceOptions): Promise<RunEnd> => {
   const { clock, client, newEventReader, entry, request, progress } = options;
   const { isVersionAllowed, onEvent, onLoad, onAccepted, signal } = options;
+  const firstTimeoutMs = FIRST_EVENT_TIMEOUT_MS + computeTransferMs(request.body);
   const idleTimeout = newIdleTimeout({
     clock,
     signal,
-    firstTimeoutMs: FIRST_EVENT_TIMEOUT_MS,
+    firstTimeoutMs,
     timeoutMs: EVENT_TIMEOUT_MS,
   });
   const runSignal = AbortSignal.any([signal, idleTimeout.signal]);
@@ -115,7 +117,7 @@
   };
 
   const stream = async (): Promise<RunEnd> => {
-    const firstByteBy = clock.now() + FIRST_EVENT_TIMEOUT_MS;
+    const firstByteBy = clock.now() + firstTimeoutMs;
     const outcome = await client.send(entry, request, firstByteBy, runSignal);
     if (outcome.type === 'fault') {
       const { fault } = outcome;
--- a/packages/batches/src/textRecords.ts
+++ b/packages/batches/src/textRecords.ts
@@ -30,8 +30,12 @@
 /** Splits bytes into the records of one append. */
 export const splitIntoRecords = (bytes: Buffer): Buffer[] => splitBytes(bytes, MAX_RECORD_BYTES);
 
-const runsOf = (place: TextPlace | null): TextRun[] =>
-  place === null ? [] : [place, ...(place.rest ?? [])];
+/** The runs of a text, in order. */
+export const runsOf = (place: TextPlace | null): TextRun[] => {
+  if (place === null) return [];
+  const { rest = [], ...first } = place;
+  return [first, ...rest];
+};
 
 /** Joins the runs of a text into its location. */
 export const joinRuns = ([first, ...rest]: [TextRun, ...TextRun[]]): TextPlace =>
--- a/packages/common/src/newMemoryBudget.ts
+++ b/packages/common/src/newMemoryBudget.ts
@@ -17,6 +17,8 @@
 const MAX_RETRY_MS = 5_000;
 /** Weight of the newest large lease in the mean time that they last. */
 const HOLD_TIME_WEIGHT = 0.25;
+/** A collection pauses the process for some 10 ms, and has to be worth it. */
+const MIN_RETURNED_BYTES = 16_000_000;
 
 /** Bytes that are held for one piece of work. */
 export interface MemoryLease {
@@ -66,22 +68,21 @@
     heldByUse.set(use, (heldByUse.get(use) ?? 0) + bytes);
   };
 
+  const returnFreed = (): void => {
+    const startedAt = clock.now();
+    collect();
+    const tookMs = Math.round(clock.now() - startedAt);
+    log.info('memory.returned', { bytes: unreturned, held, tookMs });
+    unreturned = 0;
+  };
+
   const limitFor = (bytes: number): number =>
     bytes <= SMALL_LEASE_BYTES ? limitBytes : limitBytes * (1 - RESERVED_PART);
 
   const hasRoom = (bytes: number, more: number): boolean => {
     if (more <= 0) return true;
     if (held + more > limitFor(bytes)) return false;
-    if (unreturned > 0 && held + unreturned + more > limitBytes) {
-      const startedAt = clock.now();
-      collect();
-      log.info('memory.returned', {
-        bytes: unreturned,
-        held,
-        tookMs: Math.round(clock.now() - startedAt),
-      });
-      unreturned = 0;
-    }
+    if (unreturned > 0 && held + unreturned + more > limitBytes) returnFreed();
     return true;
   };
 
@@ -137,6 +138,11 @@
     },
     /** Counts bytes that have to be held in any case; what is asked for next is refused instead. */
     hold: newLease,
+    /** Counts buffers that were used and dropped under a lease that goes on. */
+    noteFreed: (bytes: number): void => {
+      unreturned += bytes;
+      if (unreturned >= MIN_RETURNED_BYTES && held + unreturned > limitBytes) returnFreed();
+    },
     /** After how many milliseconds what has no room now can be expected to have some. */
     retryAfterMs: (): number => Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, holdMs))),
     heldBytes: (): number => held,
--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -7,8 +7,9 @@
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { Paces } from '@cyclamengate/engines/newPaces';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
+import computeTransferMs from '@cyclamengate/engines/computeTransferMs';
 import type { UpstreamRequest } from '@cyclamengate/engines/UpstreamClient';
-import { readAnswerBody } from './readAnswerBody.js';
+import { discardAnswerBody, readAnswerBody } from './readAnswerBody.js';
 
 /** Timers fire up to 1 ms early, and some fire late. */
 export const TIMER_SLACK_MS = 5;
@@ -20,12 +21,14 @@
 /** For repeatable requests; others are only abandoned at their deadline. */
 const FIRST_BYTE_TIMEOUT_MS = 1_000;
 
-/** An upstream's answer with its complete body. */
-export interface CompleteAnswer {
+/** An upstream's answer with its body. */
+export interface HeldAnswer {
   status: number;
   headers: Record<string, string>;
   signature: string | null;
   body: Buffer;
+  /** What follows the body, of an answer that is too large to be held; null if it is complete. */
+  rest: AsyncIterable<Buffer> | null;
 }
 
 export interface RelayedRequest extends Omit<UpstreamRequest, 'deadline'> {
@@ -36,8 +39,8 @@
   isIdempotent: boolean;
   maxUpstreams: number;
   deadline: number;
-  /** Counts the bodies of its answers. */
-  answerLease?: Pick<MemoryLease, 'grow'>;
+  /** Counts the bodies of its answers; null if only their status and signature are of use. */
+  answerLease?: Pick<MemoryLease, 'grow'> | null;
   /** Minimum delay before a hedged request is sent, in milliseconds. */
   minHedgeDelayMs?: number;
   /** Upstreams whose last places are left to others; chosen only if there are no others. */
@@ -54,7 +57,7 @@
 
 /** Outcome of sending a request to one upstream. */
 export type Attempt =
-  | { type: 'answer'; answer: CompleteAnswer }
+  | { type: 'answer'; answer: HeldAnswer }
   | { type: 'not-run'; reason: string }
   /** Not sent; `retryAt` is on the monotonic clock. */
   | { type: 'held'; retryAt: number }
@@ -74,8 +77,9 @@
   async (candidate: Candidate, request: RelayedRequest, signal: AbortSignal): Promise<Attempt> => {
     const { entry } = candidate;
     const startedAt = clock.now();
+    const firstByteTimeoutMs = FIRST_BYTE_TIMEOUT_MS + computeTransferMs(request.body);
     const firstByteDeadline = request.isIdempotent
-      ? Math.min(computeAnswerDeadline(request), startedAt + FIRST_BYTE_TIMEOUT_MS)
+      ? Math.min(computeAnswerDeadline(request), startedAt + firstByteTimeoutMs)
       : computeAnswerDeadline(request);
     loads.begin(entry.id);
     try {
@@ -87,7 +91,7 @@
         // A caller's deadline that is shorter than the timeout does not indicate a failure.
         const isShortDeadline =
           clock.now() >= request.deadline - TIMER_SLACK_MS &&
-          clock.now() < startedAt + FIRST_BYTE_TIMEOUT_MS;
+          clock.now() < startedAt + firstByteTimeoutMs;
         if (isUpstreamFailure && !isShortDeadline && !signal.aborted)
           health.recordFailure(entry.id, fault.reason);
         return fault.type === 'not-run'
@@ -100,10 +104,11 @@
       }
       const { answer } = outcome;
       if (answer.load) loads.report(entry.id, answer.load);
-      const body = await readAnswerBody(answer, request.answerLease ?? unlimitedLease);
-      if (body.type === 'unheld') {
-        return { type: 'failed', reason: 'no memory for the answer', isSilent: false };
-      }
+      const { answerLease = unlimitedLease } = request;
+      const body =
+        answerLease === null
+          ? await discardAnswerBody(answer)
+          : await readAnswerBody(answer, answerLease);
       if (body.type === 'truncated') {
         const reason = `answer broken off: ${body.reason}`;
         if (!signal.aborted) health.recordFailure(entry.id, reason);
@@ -120,7 +125,8 @@
         paces.record(entry, request.kind, clock.now() - startedAt, isQueued);
       }
       const { status, headers, signature } = answer;
-      return { type: 'answer', answer: { status, headers, signature, body: body.bytes } };
+      const { bytes, rest } = body;
+      return { type: 'answer', answer: { status, headers, signature, body: bytes, rest } };
     } finally {
       loads.end(entry.id);
     }
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -1,11 +1,12 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import chooseUpstream from '@cyclamengate/engines/chooseUpstream';
+import computeTransferMs from '@cyclamengate/engines/computeTransferMs';
 import type { Candidates } from './newCandidates.js';
 import newPlainAttempt, { computeAnswerDeadline, TIMER_SLACK_MS } from './newPlainAttempt.js';
 import type {
   Attempt,
-  CompleteAnswer,
+  HeldAnswer,
   PlainAttemptOptions,
   RelayedRequest,
 } from './newPlainAttempt.js';
@@ -23,6 +24,13 @@
  */
 const REDUNDANT_ATTEMPT_GRACE_MS = 300;
 
+/** The outcome of an attempt, with what aborts it. */
+interface AttemptEnd {
+  result: Attempt;
+  candidate: Candidate;
+  controller: AbortController;
+}
+
 export interface PlainRelayOptions extends PlainAttemptOptions {
   log: EventLog;
   candidates: Candidates;
@@ -44,17 +52,20 @@
 
   const computeHedgeDelayMs = (
     { entry }: Candidate,
-    { kind, minHedgeDelayMs = 0 }: RelayedRequest,
+    { kind, body, minHedgeDelayMs = 0 }: RelayedRequest,
   ): number =>
+    computeTransferMs(body) +
     Math.max(
       minHedgeDelayMs,
       MIN_HEDGE_DELAY_MS,
       (paces.expectedMs(entry, kind) ?? 0) * HEDGE_TIME_FACTOR,
     );
 
-  /** An answer is final unless it is a server error, which is retried if that is allowed. */
-  const isFinal = (result: Attempt): boolean =>
-    result.type === 'answer' && result.answer.status < 500;
+  /**
+   * An answer is final unless it is a server error, which is retried if that is allowed, or is being
+   * passed on.
+   */
+  const isFinal = ({ status, rest }: HeldAnswer): boolean => status < 500 || rest !== null;
 
   return async (request: RelayedRequest, signal: AbortSignal): Promise<RelayOutcome> => {
     const tried = new Set<string>();
@@ -62,26 +73,31 @@
     const broken = new Set<string>();
     let attempts = 0;
     const controllers = new Set<AbortController>();
-    const running = new Set<Promise<{ result: Attempt; candidate: Candidate }>>();
+    const running = new Set<Promise<AttemptEnd>>();
+    /** Of the attempt whose answer is still being read while it is passed on. */
+    let answering: AbortController | null = null;
     /** Whether an upstream may have run the request. */
     let hasRun = false;
-    let lastFailure: { answer: CompleteAnswer; candidate: Candidate } | null = null;
+    let lastFailure: { answer: HeldAnswer; candidate: Candidate } | null = null;
     let lastReason = 'no upstream';
     /** When the request may be sent again; null if it is not held. */
     let heldUntil: number | null = null;
 
-    const start = (candidate: Candidate): Promise<{ result: Attempt; candidate: Candidate }> => {
+    const start = (candidate: Candidate): Promise<AttemptEnd> => {
       attempts += 1;
       tried.add(candidate.entry.id);
       broken.delete(candidate.entry.id);
       const controller = new AbortController();
       controllers.add(controller);
       return attempt(candidate, request, AbortSignal.any([signal, controller.signal])).then(
-        (result) => ({ result, candidate }),
+        (result) => ({ result, candidate, controller }),
       );
     };
 
-    const abortAll = (): void => controllers.forEach((controller) => controller.abort('settled'));
+    const abortAll = (): void =>
+      controllers.forEach((controller) => {
+        if (controller !== answering) controller.abort('settled');
+      });
 
     /** If the caller disconnects, its signal aborts the remaining attempts at once. */
     const abortRemaining = async (outcome: RelayOutcome): Promise<void> => {
@@ -167,9 +183,10 @@
         }
         newestCandidate = startNext();
       } else {
-        const { result, candidate } = first;
+        const { result, candidate, controller } = first;
         if (result.type === 'answer') {
-          if (isFinal(result) || !mayStart()) {
+          if (result.answer.rest !== null) answering = controller;
+          if (isFinal(result.answer) || !mayStart()) {
             return finish(answered(result.answer, candidate, tried.size));
           }
           hasRun = true;
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -11,6 +11,7 @@
 import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { UpstreamAnswer } from '@cyclamengate/engines/UpstreamClient';
+import computeTransferMs from '@cyclamengate/engines/computeTransferMs';
 import type { Candidates } from './newCandidates.js';
 import newEventSplitter from './newEventSplitter.js';
 import type { RelayedRequest } from './newPlainAttempt.js';
@@ -43,6 +44,7 @@
 interface StreamFailure {
   answer: UpstreamAnswer;
   body: Buffer;
+  rest: AsyncIterable<Buffer> | null;
   candidate: Candidate;
 }
 
@@ -109,7 +111,10 @@
       const outcome = await client.send(
         entry,
         { ...request, lastEventId, mustNotRepeat: !request.isIdempotent },
-        Math.min(request.deadline, clock.now() + FIRST_BYTE_TIMEOUT_MS),
+        Math.min(
+          request.deadline,
+          clock.now() + FIRST_BYTE_TIMEOUT_MS + computeTransferMs(request.body),
+        ),
         idle ? AbortSignal.any([signal, idle.signal]) : signal,
       );
       if (signal.aborted) return 'caller-gone';
@@ -129,8 +134,8 @@
       if (answer.status >= 300) {
         const body = await readAnswerBody(answer, request.answerLease ?? unlimitedLease);
         lastReason = `status ${answer.status}`;
-        if (body.type !== 'complete') return 'broken';
-        failure = { answer, body: body.bytes, candidate };
+        if (body.type === 'truncated') return 'broken';
+        failure = { answer, body: body.bytes, rest: body.rest, candidate };
         return 'failed';
       }
       try {
@@ -159,7 +164,7 @@
         ? newIdleTimeout({
             clock,
             signal,
-            firstTimeoutMs: FIRST_BYTE_TIMEOUT_MS,
+            firstTimeoutMs: FIRST_BYTE_TIMEOUT_MS + computeTransferMs(request.body),
             timeoutMs: CHUNK_TIMEOUT_MS,
           })
         : null;
@@ -169,7 +174,13 @@
       if (end === 'whole') {
         response.end();
         health.recordSuccess(next.entry.id);
-        const answer = { status: 200, headers: {}, signature: null, body: Buffer.alloc(0) };
+        const answer = {
+          status: 200,
+          headers: {},
+          signature: null,
+          body: Buffer.alloc(0),
+          rest: null,
+        };
         return answered(answer, next, tried.size);
       }
       hasRun = hasRun || end === 'broken' || end === 'failed';
@@ -186,7 +197,7 @@
     const failed = failure as StreamFailure | null;
     if (failed && !response.headersSent) {
       const { status, headers, signature } = failed.answer;
-      const answer = { status, headers, signature, body: failed.body };
+      const answer = { status, headers, signature, body: failed.body, rest: failed.rest };
       return answered(answer, failed.candidate, upstreams);
     }
     const refusal = hasRun
--- a/packages/gateway/src/readAnswerBody.ts
+++ b/packages/gateway/src/readAnswerBody.ts
@@ -6,35 +6,49 @@
 const COPIES_WHILE_JOINING = 2;
 
 export type AnswerBody =
-  | { type: 'complete'; bytes: Buffer }
-  | { type: 'truncated'; reason: string }
-  /** The memory budget has no room for it; the rest was not read. */
-  | { type: 'unheld' };
+  | {
+      type: 'complete';
+      bytes: Buffer;
+      /** What follows the bytes, of an answer for which the memory budget has no room; null if none. */
+      rest: AsyncIterable<Buffer> | null;
+    }
+  | { type: 'truncated'; reason: string };
 
-/** Reads an answer's body to its end. */
+/**
+ * Reads an answer's body to its end, or as far as the memory budget has room for it.
+ *
+ * The upstream has done its work, so an answer that can't be held is passed on as it arrives, at the
+ * price that nothing can be repeated if it breaks off then.
+ */
 export const readAnswerBody = async (
   answer: UpstreamAnswer,
   lease: Pick<MemoryLease, 'grow'>,
 ): Promise<AnswerBody> => {
   const chunks: Buffer[] = [];
+  const iterator = answer.body[Symbol.asyncIterator]();
   try {
-    for await (const chunk of answer.body) {
-      if (!lease.grow(COPIES_WHILE_JOINING * chunk.length)) return { type: 'unheld' };
-      chunks.push(chunk);
+    for (let next = await iterator.next(); !next.done; next = await iterator.next()) {
+      chunks.push(next.value);
+      if (!lease.grow(COPIES_WHILE_JOINING * next.value.length)) {
+        const rest = { [Symbol.asyncIterator]: () => iterator };
+        return { type: 'complete', bytes: Buffer.concat(chunks), rest };
+      }
     }
   } catch (error) {
     if (error instanceof TruncatedAnswer) return { type: 'truncated', reason: error.message };
     throw error;
   }
-  return { type: 'complete', bytes: Buffer.concat(chunks) };
+  return { type: 'complete', bytes: Buffer.concat(chunks), rest: null };
 };
 
 /** Reads an answer's body to its end without holding it, so that its connection can be used again. */
-export const discardAnswerBody = async (answer: UpstreamAnswer): Promise<void> => {
+export const discardAnswerBody = async (answer: UpstreamAnswer): Promise<AnswerBody> => {
+  const iterator = answer.body[Symbol.asyncIterator]();
   try {
-    const iterator = answer.body[Symbol.asyncIterator]();
     while (!(await iterator.next()).done);
   } catch (error) {
-    if (!(error instanceof TruncatedAnswer)) throw error;
+    if (error instanceof TruncatedAnswer) return { type: 'truncated', reason: error.message };
+    throw error;
   }
+  return { type: 'complete', bytes: Buffer.alloc(0), rest: null };
 };
--- a/packages/gateway/src/relayOutcome.ts
+++ b/packages/gateway/src/relayOutcome.ts
@@ -1,12 +1,12 @@
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
-import type { CompleteAnswer } from './newPlainAttempt.js';
+import type { HeldAnswer } from './newPlainAttempt.js';
 import type { Refusal } from './refusal.js';
 
 /** What came of a relayed request; `upstreams` counts those that it was sent to. */
 export type RelayOutcome =
   | {
       type: 'answer';
-      answer: CompleteAnswer;
+      answer: HeldAnswer;
       upstream: string;
       /** Pace of the upstream when it was chosen. */
       pace: number;
@@ -17,7 +17,7 @@
 
 /** @param upstreams number of upstreams that the request was sent to */
 export const answered = (
-  answer: CompleteAnswer,
+  answer: HeldAnswer,
   { entry, pace }: Candidate,
   upstreams: number,
 ): RelayOutcome => ({ type: 'answer', answer, upstream: entry.id, pace, upstreams });
--- a/packages/store/tests/newStoreWriter.test.ts
+++ b/packages/store/tests/newStoreWriter.test.ts
@@ -128,3 +128,34 @@
   t.is(await second, 'written');
   t.deepEqual(texts(), ['a', 'b']);
 });
+
+test('an append that the store refuses for good is given up, and others are written', async (t) => {
+  // Guards against a topic to which nothing more is written: an append that got no answer once and is
+  // then refused as too large was repeated for ever.
+  const { clock, faults, writer, texts } = newParts();
+  faults.answersToLose = 1;
+  const tooLarge = writer.write([Buffer.alloc(300_000)], clock.now() + 5_000);
+  const other = writer.write([Buffer.from('b')], clock.now() + 5_000);
+  await clock.advance(2_000);
+  t.is(await tooLarge, 'not-written');
+  t.is(await other, 'written');
+  t.deepEqual(texts(), ['b']);
+});
+
+test('records that are too many for one append are written in several', async (t) => {
+  // Guards against a batch that is never accepted, since the store refuses its append.
+  const { clock, memory, writer } = newParts();
+  const records = Array.from({ length: 40 }, (_, index) => Buffer.alloc(200_000, String(index)));
+  t.is(await writer.write(records, clock.now() + 5_000), 'written');
+  t.deepEqual(memory.bodies('work'), records);
+});
+
+test('a write in several appends counts as written only if all of them are', async (t) => {
+  // Guards against a batch that is said to be accepted though a part of it is missing.
+  const { clock, faults, writer } = newParts();
+  const records = Array.from({ length: 40 }, () => Buffer.alloc(200_000));
+  const outcome = writer.write(records, clock.now() + 900);
+  faults.isRefusing = true;
+  await clock.advance(2_000);
+  t.is(await outcome, 'not-written');
+});
