--- a/packages/batches/tests/newBatches.test.ts
+++ b/packages/batches/tests/newBatches.test.ts
@@ -88,3 +88,20 @@
   const assembled = pieces.slice(1).map((piece) => assemble(JSON.parse(piece.toString())));
   t.true(assembled.every((part) => part === null));
 });
+
+test('the pieces of records that were written at the same time are told apart', (t) => {
+  // Guards against batches that are lost since their heads took several appends each, and those of
+  // other hosts lie between them.
+  const items = [newItem('1', { body: 'x'.repeat(900_000) })];
+  const records = Array.from({ length: 12 }, (_, index) => newBatch(`b${index}`, items));
+  const pieces = records.map((record, index) => encodeRecord(record, `p${index}`));
+  const assemble = newRecordAssembler();
+  const longest = Math.max(...pieces.map(({ length }) => length));
+  const found = Array.from({ length: longest }, (_, at) =>
+    pieces.map((list) => assemble(JSON.parse(String(list[at])))),
+  );
+  t.deepEqual(
+    found.flat().filter((record) => record !== null),
+    records,
+  );
+});
--- a/packages/batches/tests/newPartialTexts.test.ts
+++ b/packages/batches/tests/newPartialTexts.test.ts
@@ -130,3 +130,15 @@
     ],
   );
 });
+
+test('partial texts beyond a size are forgotten, the oldest first', (t) => {
+  // Guards against a host that takes a batch over and is ended by the long texts of its items.
+  const texts = newPartialTexts(newManualClock());
+  const long = 'x'.repeat(1_000_000);
+  for (let item = 0; item < 20; item += 1) {
+    texts.apply(part('a', 0, [long], { item: String(item) }));
+    texts.apply(part('a', 1, [long], { item: String(item) }));
+  }
+  const kept = Array.from({ length: 20 }, (_, item) => texts.get(String(item)) !== undefined);
+  t.deepEqual(kept, [...Array<boolean>(16).fill(false), ...Array<boolean>(4).fill(true)]);
+});
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -16,7 +16,12 @@
  * Starts another host, which takes work and reads the store only if it accepts work, and records
  * its calls.
  */
-export const newPeer = async (host: string, acceptsWork: boolean, answerMs = 0) => {
+export const newPeer = async (
+  host: string,
+  acceptsWork: boolean,
+  answerMs = 0,
+  memory = newTestMemory(),
+) => {
   const taken: Handover[] = [];
   const begun = new Set<string>();
   const announced: string[] = [];
@@ -51,7 +56,7 @@
     listEvacuations: () => [{ failureDomain: 'detroit', isEvacuated: true, offset: 7 }],
     touch: async () => (acceptsWork ? 'steady' : 'none'),
   };
-  const server = newPeerServer(service, newTestMemory());
+  const server = newPeerServer(service, memory);
   const [answer] = server.listeners('request') as ((...args: unknown[]) => void)[];
   server.removeAllListeners('request');
   server.on('request', (...args) => setTimeout(() => answer?.(...args), answerMs));
--- a/packages/gateway/tests/newPlainRelay.test.ts
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -267,3 +267,49 @@
   await clock.advance(1_000);
   t.is((await lookup).type, 'answer');
 });
+
+/** Counts an answer up to a number of bytes. */
+const newAnswerLease = (limitBytes: number) => {
+  let held = 0;
+  return {
+    grow: (bytes: number): boolean => {
+      if (held + bytes > limitBytes) return false;
+      held += bytes;
+      return true;
+    },
+    held: () => held,
+  };
+};
+
+const CHUNKS = ['first ', 'second ', 'third ', 'fourth'];
+
+const joinRest = async (rest: AsyncIterable<Buffer> | null): Promise<string> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of rest ?? []) chunks.push(chunk);
+  return Buffer.concat(chunks).toString();
+};
+
+test('an answer that does not fit into memory is passed on as it arrives', async (t) => {
+  // Guards against callers that get a failure though an upstream has done their work.
+  const answerLease = newAnswerLease(30);
+  const { clock, relay, sent } = newTestRelay({ working: answering(CHUNKS) });
+  const result = await relay(newRequest(clock, { answerLease }), neverAborted);
+  if (result.type !== 'answer') throw new Error('refused');
+  const { body, rest } = result.answer;
+  t.not(rest, null);
+  t.true(answerLease.held() <= 30);
+  t.is(body.toString() + (await joinRest(rest)), CHUNKS.join(''));
+  t.false(sent.some(({ signal }) => signal.aborted));
+});
+
+test('an answer of which only the signature is of use is read and not held', async (t) => {
+  // Guards against scoring calls whose answers fill the memory of the host.
+  const { clock, relay } = newTestRelay({ working: answering(CHUNKS) });
+  const result = await relay(newRequest(clock, { answerLease: null }), neverAborted);
+  if (result.type !== 'answer') throw new Error('refused');
+  t.is(result.answer.body.length, 0);
+  t.truthy(result.answer.signature);
+  const broken = newTestRelay({ broken: answering(CHUNKS, { isTruncated: true }) });
+  const cut = await broken.relay(newRequest(broken.clock, { answerLease: null }), neverAborted);
+  t.is(cut.type, 'refusal');
+});
