--- a/packages/batches/tests/newPeerServer.test.ts
+++ b/packages/batches/tests/newPeerServer.test.ts
@@ -29,7 +29,6 @@
     method: 'POST',
     headers: { 'content-type': 'application/json' },
     body: JSON.stringify('x'.repeat(TOO_LARGE_BYTES)),
-    reset: true,
   });
   t.is(answer.statusCode, 413);
   await answer.body.dump();
