A host that starts after claims have expired comes to the same lease holder

Cause: a claim was valid if it named the lease's newest valid record, and the first claim read of a lease always was. A holder that does not read its claim back in 450 ms claims again after the same record; the second is void for all that read the first. A host that starts when the first has expired took the void one for valid, and all later claims of the holder for void.

Change: a claim names the newest record that its host had read, valid or not, and is void if a valid record follows that one. For hosts that read everything this accepts the same claims (of two racing ones the first); a host with a wrong beginning accepts the holder's next claim but one, whatever it began with. A host that knows of records that expired unread, at its start or later, claims nothing for a term and the margin, in which a holder renews thrice. Weighed and left: a keyed topic with the newest valid claim (a second write a second and holder, and two records that can differ), fencing numbers compared where views differ (does not tell who holds).

--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -126,6 +126,7 @@
       apply: applyRecord,
     }),
     onCaughtUp: members.advanceView,
+    onGap: leases.noteGap,
   });
   const writer = newStoreWriter({ clock, log, store, topic: TOPIC, producer: incarnation });
 
--- a/packages/hosts/src/coordinationRecord.ts
+++ b/packages/hosts/src/coordinationRecord.ts
@@ -34,7 +34,7 @@
 
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
 
-/** Claims, renews or releases a lease. Void unless `previous` is the lease's newest record. */
+/** Claims, renews or releases a lease. Void if a valid record of the lease follows `previous`. */
 export const leaseClaimSchema = z.object({
   type: z.literal('lease'),
   subject: z.string(),
@@ -42,7 +42,7 @@
   incarnation: z.string(),
   /** Sequence number of this claim within the incarnation. */
   number: z.int(),
-  /** Offset of the lease's previous valid record; -1 for none. */
+  /** Offset of the newest record of the lease that the host had read; -1 for none. */
   previous: z.int(),
   /** The holder releases the lease. */
   isReleased: z.boolean(),
--- a/packages/hosts/src/newLeases.ts
+++ b/packages/hosts/src/newLeases.ts
@@ -18,7 +18,9 @@
 
 interface Lease {
   /** Offset of the newest valid record. */
-  newestOffset: number;
+  newestValid: number;
+  /** Offset of the newest record, valid or not. */
+  newestRead: number;
   /** Oldest first; the last one belongs to the current holder. */
   tenures: Tenure[];
 }
@@ -29,17 +31,24 @@
 /**
  * Determines the holder of each lease from the claims in log order.
  *
- * Every host reads the same claims and accepts the same ones: a claim names the record it follows,
- * so the first of two racing claims is valid, and one that is appended late is void. A host reads
- * with some delay, so in its view another host's term always ends later than in that holder's view.
+ * Every host reads the same claims and accepts the same ones: a claim names the newest record that
+ * its host had read, and is void if that is older than the newest valid one. So the first of two
+ * racing claims is valid, and one that is appended late is void. A host reads with some delay, so in
+ * its view another host's term always ends later than in that holder's view.
+ *
+ * The oldest records expire. A host that starts then can't tell whether the first claim that it reads
+ * is a void one. It accepts it and claims nothing for a term: by then a holder has renewed its lease,
+ * and names a newer record than the one that was accepted.
  */
 const newLeases = (clock: Clock, termMs: number) => {
   const leases = new Map<string, Lease>();
+  /** Until then, on the monotonic clock, claims that expired unread may still be in force. */
+  let unknownUntil = -Infinity;
 
   const getOrCreateLease = (subject: string): Lease => {
     const known = leases.get(subject);
     if (known) return known;
-    const created = { newestOffset: -1, tenures: [] };
+    const created = { newestValid: -1, newestRead: -1, tenures: [] };
     leases.set(subject, created);
     return created;
   };
@@ -47,9 +56,9 @@
   /** @returns whether the claim is valid */
   const apply = (claim: LeaseClaim, offset: number): boolean => {
     const lease = getOrCreateLease(claim.subject);
-    // Earlier records may have been trimmed, so the first record read of a lease is always valid.
-    if (lease.newestOffset !== -1 && claim.previous !== lease.newestOffset) return false;
-    lease.newestOffset = offset;
+    lease.newestRead = offset;
+    if (claim.previous < lease.newestValid) return false;
+    lease.newestValid = offset;
     const readAt = clock.now();
     const last = lease.tenures.at(-1);
     const isSameTenure = last?.incarnation === claim.incarnation && !last.isReleased;
@@ -75,8 +84,9 @@
   const isFreeFor = (subject: string, host: string, marginMs: number): boolean => {
     const { tenures } = getOrCreateLease(subject);
     const last = tenures.at(-1);
-    if (!last) return true;
     const now = clock.now();
+    if (now <= unknownUntil + marginMs) return false;
+    if (!last) return true;
     const isAvailable =
       last.isReleased || last.host === host || now > last.readAt + termMs + marginMs;
     const hasHeldRecently = tenures.some(
@@ -92,8 +102,12 @@
   return {
     apply,
     isFreeFor,
-    /** Offset that the next claim must name as its previous record. */
-    newestOffset: (subject: string): number => getOrCreateLease(subject).newestOffset,
+    /** Records that claims may have expired before this host read them. */
+    noteGap: (): void => {
+      unknownUntil = clock.now() + termMs;
+    },
+    /** Offset that the next claim must name as the newest record that was read. */
+    newestOffset: (subject: string): number => getOrCreateLease(subject).newestRead,
     holder: (subject: string): Holder | null => {
       const last = getOrCreateLease(subject).tenures.at(-1);
       return last && !last.isReleased ? last : null;
--- a/packages/store/src/newTopicFollower.ts
+++ b/packages/store/src/newTopicFollower.ts
@@ -25,6 +25,8 @@
   apply: (records: StoredRecord[]) => void;
   /** Called when the view holds everything written before `at`, on the monotonic clock. */
   onCaughtUp?: (at: number) => void;
+  /** Called when records expired before they were read, also on a host that has just started. */
+  onGap?: () => void;
 }
 
 /**
@@ -40,7 +42,7 @@
  * halves the page size, and each successful read increases it slightly.
  */
 const newTopicFollower = (options: TopicFollowerOptions) => {
-  const { clock, log, store, topic, readIntervalMs = () => 0, apply, onCaughtUp } = options;
+  const { clock, log, store, topic, readIntervalMs = () => 0, apply, onCaughtUp, onGap } = options;
   let next = 0;
   let freshAt = -Infinity;
   /** When the newest outage ended. */
@@ -102,6 +104,7 @@
     if (page.val.type === 'expired' && page.val.first > next) {
       log.warn('store.history-gone', { topic, from: next, first: page.val.first });
       next = page.val.first;
+      onGap?.();
       return true;
     }
     pageKb = Math.max(MIN_PAGE_KB, pageKb / 2);
