A text that only a version which is gone could continue is begun anew

Cause: a text that has begun at version 1 may be continued at version 1 only. The engine that had it was lost after all others had loaded version 2. Nothing dropped the text: that was done for mixed texts and those below min-version.

Change: before items start, a text of a single-version route is dropped as soon as no usable engine lists its version and its model has a newer one, so that no engine will be ordered to load it; the item begins again under what its batch allows. While an engine with that version is busy, or one is yet to load it, the text waits. Where no engine is usable at all it waits too.

Of the two new tests the first fails without the change.

--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -214,6 +214,7 @@
       return mayStartWork(clock.now(), view, isLogged);
     },
     isListed: (id) => directory.find(id) !== undefined,
+    newestVersion: (model) => platform.newestVersion(model).version,
     incarnation,
     isLeaving: () => isLeaving,
     freshAt: batchStore.freshAt,
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -6,12 +6,14 @@
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
 import type { Paces } from '@cyclamengate/engines/newPaces';
+import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { Candidates } from '@cyclamengate/gateway/newCandidates';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import type { BatchOwner, Handover, ItemResult, Part, TextPlace } from './batchRecord.js';
+import { discardText, isVersionGone } from './discardText.js';
 import { countFree } from './engineRoom.js';
 import type { EventReader } from './EventReader.js';
 import type { Batches } from './newBatches.js';
@@ -60,6 +62,8 @@
   /** Whether the view of the log is current enough to start work on a batch. */
   mayWork: (state: BatchState) => boolean;
   isListed: (upstream: string) => boolean;
+  /** The newest version of a model that its trainer has named. */
+  newestVersion: (model: string) => number;
   /** Incarnation of this process. */
   incarnation: string;
   isLeaving: () => boolean;
@@ -85,7 +89,8 @@
 /** Runs the items of the batches that are assigned to this host. */
 const newBatchRunner = (options: BatchRunnerOptions) => {
   const { clock, log, batches, client, candidates, health, loads, paces, scorer, write } = options;
-  const { newEventReader, readSettings, isOwner, homesOf, mayWork, isListed } = options;
+  const { newEventReader, newestVersion, readSettings, isOwner, homesOf, mayWork, isListed } =
+    options;
   const tasks = newTaskList({ clock, log, findText: batches.findText });
   const savePart = newPartSaver({ clock, writer: options.incarnation, write: options.writePart });
   const { writeText, readParts, requests } = options;
@@ -133,6 +138,7 @@
     mayWork,
   });
 
+  const repeats = newRepeatCounter(options.metrics);
   const runItem = newItemRunner({
     clock,
     log,
@@ -143,7 +149,7 @@
     paces,
     refusals,
     reservations,
-    repeats: newRepeatCounter(options.metrics),
+    repeats,
     notifier,
     requests,
     routeOf,
@@ -162,9 +168,25 @@
     return true;
   };
 
+  /** Begins anew what only engines of a version that is gone could continue. */
+  const discardHopeless = (list: ItemTask[], current: Candidate[]): void =>
+    list
+      .filter(({ state }) => routeOf(state)?.isSingleVersion)
+      .filter((task) => isVersionGone(task, current, newestVersion(task.state.batch.model ?? '')))
+      .forEach((task) => {
+        log.warn('item.version-gone', {
+          requestId: task.item.id,
+          batch: task.state.batch.id,
+          version: task.progress.versions[0],
+          events: task.progress.events.length,
+        });
+        discardText(task, repeats);
+      });
+
   const startWaiting = (waiting: ItemTask[]): void =>
     scopes.group(waiting.filter((task) => !abandonExpired(task))).forEach((scope) => {
       const current = scopes.findCandidates(scope);
+      discardHopeless(scope.list, current);
       // Mostly all slots are taken, and describing the items would be wasted work.
       const hasRoom = current.some((candidate) => countFree(candidate) > 0);
       if (!hasRoom && !scope.list.some(({ key }) => reservations.find(key) !== null)) return;
--- a/packages/batches/src/newItemRunner.ts
+++ b/packages/batches/src/newItemRunner.ts
@@ -6,6 +6,7 @@
 import type UpstreamClient from '@cyclamengate/engines/UpstreamClient';
 import type { EventReader } from './EventReader.js';
 import type { ItemRequest } from './batchRecord.js';
+import { discardText } from './discardText.js';
 import newItemRequest from './newItemRequest.js';
 import type { Refusals } from './newRefusals.js';
 import type { RepeatCounter } from './newRepeatCounter.js';
@@ -14,7 +15,7 @@
 import newRunEndHandler from './newRunEndHandler.js';
 import type { RunEndHandlerOptions } from './newRunEndHandler.js';
 import type { ItemTask } from './newTaskList.js';
-import { meetsMinVersion, newProgress } from './progress.js';
+import { meetsMinVersion } from './progress.js';
 import runOnce from './runOnce.js';
 import type { RunEnd } from './runOnce.js';
 
@@ -48,10 +49,7 @@
     const { progress, state } = task;
     const isMixed = isSingleVersion && progress.versions.length > 1;
     if (!isMixed && meetsMinVersion(progress, state.batch.leastVersion)) return;
-    repeats.countDiscarded(progress.events.length);
-    task.progress = newProgress();
-    task.savedEvents = 0;
-    task.isCompletionSaved = false;
+    discardText(task, repeats);
   };
 
   return async (task: ItemTask, { entry, pace }: Candidate): Promise<void> => {
--- a/packages/batches/tests/newBatchRunner.test.ts
+++ b/packages/batches/tests/newBatchRunner.test.ts
@@ -170,3 +170,55 @@
   t.deepEqual(observed.upstreams, ['a']);
   await close();
 });
+
+const newEngine = (id: string, version: number) =>
+  newCandidate(id, {}, { models: [{ model: 'x', version }] });
+
+/** The text of an item of a single-version route that another host has begun under version 1. */
+const newBegunText = async () => {
+  const parts = newRunnerHost({ isSingleVersion: true });
+  parts.state.candidates = [newEngine('a', 1)];
+  parts.state.isSlow = true;
+  parts.batches.apply(newBatch('b', [newItem('1')]));
+  await parts.clock.advance(500);
+  return parts;
+};
+
+test('a text whose only version no engine has any more is begun anew', async (t) => {
+  // Guards against an item that no engine is ever sent again: its engine was lost after all others had
+  // loaded the next version.
+  const { clock, observed, state, resumeEngine, close } = await newBegunText();
+  state.newestVersion = 2;
+  state.candidates = [newEngine('b', 2)];
+  state.isSlow = false;
+  state.engineVersion = 2;
+  await clock.advance(2_000);
+  resumeEngine.abort();
+  await clock.advance(1_000);
+  t.deepEqual(observed.upstreams, ['a', 'b']);
+  t.is(observed.results[0]?.text?.topic, 'one\ntwo');
+  t.deepEqual(observed.results[0]?.versions, [2]);
+  await close();
+});
+
+test('a text waits while an engine may still continue it', async (t) => {
+  // Guards against texts that are thrown away while a busy engine, or one that is about to load their
+  // version, could end them.
+  const { clock, observed, state, close } = await newBegunText();
+  state.isSlow = false;
+  state.newestVersion = 2;
+  state.candidates = [newEngine('b', 2), newEngine('c', 1)].map((candidate, index) =>
+    index === 1 ? { ...candidate, load: 8 } : candidate,
+  );
+  await clock.advance(3_000);
+  t.deepEqual(observed.upstreams, ['a']);
+  state.newestVersion = 1;
+  state.candidates = [newEngine('d', 0)];
+  await clock.advance(1_000);
+  t.deepEqual(observed.upstreams, ['a']);
+  state.candidates = [newEngine('d', 1)];
+  await clock.advance(1_000);
+  t.deepEqual(observed.upstreams, ['a', 'd']);
+  t.deepEqual(observed.results[0]?.versions, [1]);
+  await close();
+});
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -36,13 +36,19 @@
 };
 
 /** Creates the runner of one host, with an engine that generates two events for each item. */
-const newRunnerHost = () => {
+const newRunnerHost = (route: Partial<Route> = {}) => {
   const clock = newManualClock();
   const parts = newPartialTexts(clock);
   const batches = newBatches({ clock, retentionMs: 120_000, parts });
   const view = newSettingsView(silentLog);
   const limits = { maxHeaderBytes: 0, maxBodyBytes: 0, headerTimeoutMs: 0, idleTimeoutMs: 0 };
-  view.put({ version: 1, routes: [batchRoute], services: [], customers: null, limits });
+  view.put({
+    version: 1,
+    routes: [{ ...batchRoute, ...route }],
+    services: [],
+    customers: null,
+    limits,
+  });
   const observed = {
     runs: [] as string[],
     upstreams: [] as string[],
@@ -50,7 +56,13 @@
     results: [] as ItemResult[],
     handovers: [] as Handover[],
   };
-  const state = { isFresh: true, isSlow: false, candidates: [newCandidate('a')] };
+  const state = {
+    isFresh: true,
+    isSlow: false,
+    candidates: [newCandidate('a')],
+    newestVersion: 1,
+    engineVersion: 1,
+  };
   /** Lets a slow engine continue when aborted. */
   const resumeEngine = new AbortController();
 
@@ -78,7 +90,7 @@
       const head = { status: 200, headers: {}, signature: 's', load: null, isEventStream: true };
       return {
         type: 'answer',
-        answer: { ...head, version: 1, body: body(request.lastEventId, signal) },
+        answer: { ...head, version: state.engineVersion, body: body(request.lastEventId, signal) },
       };
     }
 
@@ -118,6 +130,7 @@
     homesOf: () => null,
     mayWork: ({ isLogged }) => state.isFresh || !isLogged,
     isListed: () => true,
+    newestVersion: () => state.newestVersion,
     incarnation: 'host-1',
     isLeaving: () => false,
     freshAt: clock.now,
