An entry that is executed late makes no draining or removed upstream usable

By reading (review): a `ready` entry that the store executes after `draining` made an engine usable again until its next entry.

Change: within one incarnation an entry with a lower number than the newest known one is ignored and logged (upstream.entry-late), also after the upstream was removed. An upstream that states no number is believed as before; another incarnation counts anew.

--- a/packages/engines/src/newDirectory.ts
+++ b/packages/engines/src/newDirectory.ts
@@ -1,6 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
-import { isSameIncarnation } from './upstreamEntry.js';
+import { getIncarnationKey, isSameIncarnation } from './upstreamEntry.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 /**
@@ -10,6 +10,9 @@
  */
 const STORE_RECOVERY_GRACE_MS = 2_300;
 
+/** Incarnations that are gone and of which an entry may still be executed late. */
+const MAX_REMEMBERED = 256;
+
 interface ListedUpstream {
   entry: UpstreamEntry;
   /** Set if the entry was deleted but may be written again; on the monotonic clock. */
@@ -21,12 +24,33 @@
   const listed = new Map<string, ListedUpstream>();
   const removalListeners: ((entry: UpstreamEntry) => void)[] = [];
   const listingListeners: ((entry: UpstreamEntry) => void)[] = [];
+  /** Sequence numbers of the last entries of incarnations that are gone. */
+  const goneSequences = new Map<string, number>();
   let graceUntil = -Infinity;
 
+  const rememberGone = (entry: UpstreamEntry): void => {
+    if (typeof entry.sequence !== 'number') return;
+    goneSequences.set(getIncarnationKey(entry), entry.sequence);
+    const [oldest] = goneSequences.keys();
+    if (goneSequences.size > MAX_REMEMBERED && oldest !== undefined) goneSequences.delete(oldest);
+  };
+
+  /**
+   * Whether an entry was written before the newest one of its incarnation. A write may be executed
+   * seconds late, and an upstream that has said that it is draining must not be used again.
+   */
+  const isLate = (entry: UpstreamEntry, before: UpstreamEntry | undefined): boolean => {
+    if (typeof entry.sequence !== 'number') return false;
+    const isKnown = before !== undefined && isSameIncarnation(before, entry);
+    const newest = isKnown ? before.sequence : goneSequences.get(getIncarnationKey(entry));
+    return typeof newest === 'number' && entry.sequence < newest;
+  };
+
   const removeUpstream = (id: string, reason: string): void => {
     const upstream = listed.get(id);
     if (!upstream) return;
     listed.delete(id);
+    rememberGone(upstream.entry);
     log.info('upstream.gone', { upstream: id, service: upstream.entry.service, reason });
     removalListeners.forEach((listener) => listener(upstream.entry));
   };
@@ -57,6 +81,10 @@
   return {
     put: (entry: UpstreamEntry): void => {
       const before = listed.get(entry.id)?.entry;
+      if (isLate(entry, before)) {
+        log.warn('upstream.entry-late', { upstream: entry.id, sequence: entry.sequence });
+        return;
+      }
       // A restarted upstream keeps its id, and must not be mistaken for its previous incarnation.
       if (before && !isSameIncarnation(before, entry)) removeUpstream(entry.id, 'restarted');
       logChange(entry, before);
--- a/packages/engines/src/upstreamEntry.ts
+++ b/packages/engines/src/upstreamEntry.ts
@@ -18,6 +18,8 @@
   isSpot: boolean;
   /** Start time in Unix milliseconds; distinguishes incarnations that share an id. */
   startedAt: number;
+  /** Rises with each entry of one incarnation; null or left out if the upstream states none. */
+  sequence?: number | null;
   /** When it stops being cold by what it says itself, on the monotonic clock. */
   coldUntil: number;
   models: LoadedModel[];
