A batch that its sender has not ended can still be read

By reading (review): newBatches forgot a batch 1.5 times `status-s` after it was accepted, open or not, and hosts answered 404.

Change: an ended batch is forgotten as before; one that is open after ten times that time, so that a trainer that never ends its batches does not fill the hosts. The test of eviction took an open batch for one that may be forgotten; it ends the batch now, and another test reads an open one after ten minutes (fails before).

--- a/packages/batches/src/newBatchState.ts
+++ b/packages/batches/src/newBatchState.ts
@@ -48,7 +48,7 @@
    * which the batch was added after such a report; the log may still lack the record of that host.
    */
   executorReportedAt: number;
-  /** Time on the monotonic clock after which this host evicts the batch. */
+  /** Time on the monotonic clock after which this host evicts the batch if it has ended. */
   evictAt: number;
 }
 
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -14,12 +14,15 @@
 import type { PartialTexts } from './newPartialTexts.js';
 import type { BatchExecutor } from './peerRouter.js';
 
+/** A batch that its sender never ends is forgotten after so many times the retention. */
+const OPEN_RETENTION_FACTOR = 10;
+
 /** A host that takes a batch over writes its record within this time, unless it dies. */
 const TAKEOVER_RECORD_GRACE_MS = 2_000;
 
 export interface BatchesOptions {
   clock: Clock;
-  /** Time for which batches can be read after they were accepted, in milliseconds. */
+  /** Time for which an ended batch can be read after it was accepted, in milliseconds. */
   retentionMs: number;
   /** Partial texts, as far as they were read. */
   parts: PartialTexts;
@@ -129,7 +132,8 @@
       if (at + retentionMs < clock.now()) reportedExecutors.delete(id);
     });
     states.forEach((state, id) => {
-      if (state.evictAt >= clock.now()) return;
+      const openMs = state.isEnded ? 0 : (OPEN_RETENTION_FACTOR - 1) * retentionMs;
+      if (state.evictAt + openMs >= clock.now()) return;
       dropRequests(state);
       state.results.forEach(({ item, batch }) => {
         if (completed.get(item)?.result.batch === batch) completed.delete(item);
--- a/packages/batches/tests/newBatches.test.ts
+++ b/packages/batches/tests/newBatches.test.ts
@@ -58,6 +58,7 @@
 test('a batch is retained as long as it may be read, then evicted', async (t) => {
   const { clock, batches } = newFixture();
   batches.apply(newBatch('b', [newItem('1')], { acceptedAt: clock.wallTime() }));
+  batches.apply({ type: 'batch-end', batch: 'b' });
   await clock.advance(119_000);
   batches.apply(newBatch('c', [newItem('1')], { acceptedAt: clock.wallTime() }));
   t.truthy(batches.get('b'));
@@ -66,6 +67,18 @@
   t.is(batches.get('b'), undefined);
 });
 
+test('a batch that its sender has not ended can still be read', async (t) => {
+  // Guards against 404 for a batch that is open: it was forgotten 1.5 times `status-s` after its 202.
+  const { clock, batches } = newFixture();
+  batches.apply(newBatch('b', [newItem('1')], { acceptedAt: clock.wallTime() }));
+  await clock.advance(600_000);
+  batches.apply(newBatch('c', [newItem('1')], { acceptedAt: clock.wallTime() }));
+  t.truthy(batches.get('b'));
+  batches.apply({ type: 'batch-end', batch: 'b' });
+  batches.apply(newBatch('d', [newItem('1')], { acceptedAt: clock.wallTime() }));
+  t.is(batches.get('b'), undefined);
+});
+
 test('a large batch is split into pieces that are reassembled', (t) => {
   // A step of 512 samples does not fit into one record of the store.
   const items = Array.from({ length: 512 }, (_, index) =>
