--- a/packages/batches/src/newTextReader.ts
+++ b/packages/batches/src/newTextReader.ts
@@ -43,6 +43,8 @@
 
 /** Texts larger than this are not cached, since they would evict all others. */
 const MAX_CACHED_TEXT_BYTES = 1_000_000;
+/** Neighbours of texts that are larger than texts of items are no texts, and are not read soon. */
+const MAX_CACHED_RECORD_BYTES = 131_072;
 
 export interface TextReaderOptions {
   clock: Clock;
@@ -56,7 +58,9 @@
   /** Whether the first text is available, so that a response would not be empty. */
   hasFirstText: () => boolean;
   deadline: number;
+  /** Copies, since a record is a slice of a page that would stay in memory as a whole. */
   bodies: Map<string, Buffer>;
+  wanted: Set<string>;
   isCached: boolean;
   missing: RecordPlace[];
   maxKb: number;
@@ -120,8 +124,10 @@
     const { records } = page.val;
     records.forEach(({ offset, body }) => {
       state.bytes += body.length;
-      state.bodies.set(recordKey({ topic, offset }), body);
-      if (state.isCached) cache.put(topic, offset, body);
+      const key = recordKey({ topic, offset });
+      if (state.wanted.has(key)) state.bodies.set(key, Buffer.from(body));
+      const isCached = state.isCached && body.length <= MAX_CACHED_RECORD_BYTES;
+      if (isCached) cache.put(topic, offset, body);
     });
     state.mayStartEarlier = hasRecord(state.bodies, first);
     const isFast = clock.now() < startedAt + FAST_READ_MS;
@@ -166,6 +172,7 @@
       hasFirstText: () => firstRecords.every((record) => hasRecord(bodies, record)),
       deadline,
       bodies,
+      wanted: new Set(records.map(recordKey)),
       isCached: places.every((place) => textBytes(place) <= MAX_CACHED_TEXT_BYTES),
       missing: records.filter((record) => !hasRecord(bodies, record)),
       maxKb: INITIAL_READ_KB,
--- a/packages/batches/src/newTexts.ts
+++ b/packages/batches/src/newTexts.ts
@@ -23,9 +23,16 @@
   producer: string;
 }
 
-/** @param part parts of a large text follow in the next topics, so that they are written at once */
-const topicForBatch = (batch: string, part: number): string =>
-  `texts-${(Number.parseInt(digest(batch).slice(0, 4), 16) + part) % TOPIC_COUNT}`;
+const hashBatch = (batch: string): number => Number.parseInt(digest(batch).slice(0, 4), 16);
+
+const topicForTexts = (batch: string): string => `texts-${hashBatch(batch) % TOPIC_COUNT}`;
+
+/**
+ * Large requests lie apart from texts, which are read in pages. Their parts follow one another in
+ * several topics, so that they are written at once.
+ */
+const topicForRequests = (batch: string, part: number): string =>
+  `requests-${(hashBatch(batch) + part) % TOPIC_COUNT}`;
 
 /**
  * Stores complete texts of items separately from the records that all hosts follow.
@@ -60,7 +67,7 @@
   };
 
   /**
-   * Writes bytes that fit into one append and that this host is unlikely to read soon.
+   * Writes a part of a batch's requests that fits into one append, and is unlikely to be read here.
    * @param part number of the part within what is written for the batch
    * @returns the location of the bytes; null if it is not known by the deadline
    */
@@ -70,7 +77,7 @@
     bytes: Buffer,
     deadline: number,
   ): Promise<TextRun | null> =>
-    writeRecords(topicForBatch(batch, part), splitIntoRecords(bytes), deadline);
+    writeRecords(topicForRequests(batch, part), splitIntoRecords(bytes), deadline);
 
   /**
    * Writes a text, in several appends if it is too large for one.
@@ -81,7 +88,7 @@
     text: string | Buffer,
     deadline: number,
   ): Promise<TextPlace | null> => {
-    const topic = topicForBatch(batch, 0);
+    const topic = topicForTexts(batch);
     const runs: TextRun[] = [];
     for (const part of splitIntoAppends(Buffer.from(text))) {
       const records = splitIntoRecords(part);
--- a/packages/batches/tests/newTexts.test.ts
+++ b/packages/batches/tests/newTexts.test.ts
@@ -146,3 +146,28 @@
   t.is(cache.get('texts', 0), undefined);
   t.truthy(cache.get('texts', 1));
 });
+
+test('what lies between texts is neither held nor cached', async (t) => {
+  // Guards against a page of small texts for which megabytes of other records stay in memory.
+  const { clock, memory, writer, reader } = newHosts();
+  const by = clock.now() + 1_000;
+  const first = await writer.texts.write('b', 'first', by);
+  const between = await writer.texts.write('b', 'x'.repeat(800_000), by);
+  const second = await writer.texts.write('b', 'second', by);
+  t.deepEqual(await reader.texts.read([first, second], by), ['first', 'second']);
+  memory.trim(first!.topic, second!.offset + 1);
+  t.deepEqual(await reader.texts.read([first, second], by), ['first', 'second']);
+  t.deepEqual(await reader.texts.read([between], by), []);
+});
+
+test('large requests are written apart from texts, and their parts to several topics', async (t) => {
+  // Guards against pages of results that consist of requests, and against parts that wait for one
+  // another at the store.
+  const { clock, writer } = newHosts();
+  const by = clock.now() + 1_000;
+  const text = await writer.texts.write('b', 'text', by);
+  const parts = await Promise.all(
+    [0, 1, 2].map((part) => writer.texts.writePart('b', part, Buffer.alloc(900_000), by)),
+  );
+  t.is(new Set([text, ...parts].map((place) => place?.topic)).size, 4);
+});
