Memory of a call that fails is given back

Read on the last reading: a lease for a batch that arrives, or for a page of results, was released after the work, not if it throws; the host would have had less memory for bodies from then on.

--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -87,6 +87,12 @@
     sendJson(response, refusal.status, { error: refusal.code }, headers);
   };
 
+  /** Gives memory back once an answer is sent, or its caller has gone. */
+  const releaseOnClose = (response: ServerResponse, release: () => void): void => {
+    response.once('close', release);
+    if (response.destroyed) release();
+  };
+
   /** Finds a batch of the caller. It is reported missing only if the view is up to date. */
   const findBatch = async (request: CallerRequest, id: string): Promise<BatchState | Refusal> => {
     const effective = readSettings();
@@ -233,9 +239,11 @@
       hostName: request.hostName,
       acceptedAt: clock.wallTime(),
     };
-    const refusal = await receiveAndStore(incoming, maxBodyBytes, fields);
-    lease.release();
-    answer(refusal);
+    try {
+      answer(await receiveAndStore(incoming, maxBodyBytes, fields));
+    } finally {
+      lease.release();
+    }
   };
 
   /** Waits for a result at a position, until the caller's wait time is over. */
@@ -282,9 +290,8 @@
       refuse(response, request, id, notRun('no-memory', memory.retryAfterMs()));
       return;
     }
+    releaseOnClose(response, lease.release);
     const page = await pages.read(state.results, from);
-    response.once('close', lease.release);
-    if (response.destroyed) lease.release();
     if (!page) {
       refuse(response, request, id, notRun('texts-unread', STORE_RETRY_MS));
       return;
@@ -307,8 +314,7 @@
       return;
     }
     const { body } = item.request;
-    response.once('close', item.release);
-    if (response.destroyed) item.release();
+    releaseOnClose(response, item.release);
     response.writeHead(200, {
       'content-type': 'application/octet-stream',
       'content-length': String(body.length),
