--- a/packages/common/src/newMemoryBudget.ts
+++ b/packages/common/src/newMemoryBudget.ts
@@ -128,8 +128,6 @@
 
   return {
     limitBytes,
-    /** Whether a lease of this size fits into an idle process. */
-    canEverHold: (bytes: number): boolean => bytes <= limitFor(bytes),
     /** @returns null if the budget has no room for the bytes now */
     reserve: (use: MemoryUse, bytes: number): MemoryLease | null => {
       if (hasRoom(bytes, bytes)) return newLease(use, bytes);
--- a/packages/engines/tests/newDirectory.test.ts
+++ b/packages/engines/tests/newDirectory.test.ts
@@ -2,28 +2,14 @@
 import test from 'ava';
 import newDirectory from '../src/newDirectory.js';
 import type { UpstreamEntry } from '../src/upstreamEntry.js';
+import { newEntry as newListedEntry, silentLog } from './helpers.js';
 
-const log = { info: () => {}, warn: () => {}, error: () => {} };
-
-const newEntry = (changes: Partial<UpstreamEntry> = {}): UpstreamEntry => ({
-  id: 'a',
-  service: 'models',
-  host: '10.0.0.1',
-  port: 8_080,
-  failureDomain: 'detroit',
-  slots: 8,
-  isDraining: false,
-  isSpot: false,
-  startedAt: 1,
-  sequence: 1,
-  coldUntil: -Infinity,
-  models: [],
-  ...changes,
-});
+const newEntry = (changes: Partial<UpstreamEntry> = {}): UpstreamEntry =>
+  newListedEntry('a', { sequence: 1, ...changes });
 
 test('an entry that is executed late does not make a draining upstream usable', (t) => {
   // Guards against requests to an upstream that has said that it is leaving.
-  const directory = newDirectory(newManualClock(), log);
+  const directory = newDirectory(newManualClock(), silentLog);
   directory.put(newEntry({ sequence: 5 }));
   directory.put(newEntry({ sequence: 7, isDraining: true }));
   directory.put(newEntry({ sequence: 6 }));
@@ -33,7 +19,7 @@
 });
 
 test('an entry that is executed late does not bring an upstream back that is gone', (t) => {
-  const directory = newDirectory(newManualClock(), log);
+  const directory = newDirectory(newManualClock(), silentLog);
   directory.put(newEntry({ sequence: 5 }));
   directory.remove('a');
   directory.put(newEntry({ sequence: 4 }));
@@ -44,7 +30,7 @@
 
 test('an upstream that starts again counts anew, and one that counts nothing is believed', (t) => {
   // Guards against an upstream that is never used again since its numbers begin at 0.
-  const directory = newDirectory(newManualClock(), log);
+  const directory = newDirectory(newManualClock(), silentLog);
   directory.put(newEntry({ sequence: 50, isDraining: true }));
   directory.put(newEntry({ sequence: 0, startedAt: 2 }));
   t.false(directory.find('a')?.isDraining);
