A request that a host breaks off ends no stand-in

Cause: the stand-ins of plain services and of duties read a body without handling its end: a host that breaks a large body off (a hedged scoring call, a host that is stopped) left a rejection that nobody handled, and the run failed.

Change: the loopback server drops a request that its sender breaks off, for all stand-ins in one place; any other error of a handler is thrown, which two of them had hidden.

--- a/apps/platform-standin/src/listenOnLoopback.ts
+++ b/apps/platform-standin/src/listenOnLoopback.ts
@@ -18,10 +18,17 @@
 /** Time for which a crashed server is down. */
 const RESTART_DELAY_MS = 250;
 
-/** Starts an HTTP server on a free loopback port. */
-const listenOnLoopback = async (
-  handle: (request: IncomingMessage, response: ServerResponse, crash: () => void) => void,
-): Promise<LoopbackServer> => {
+type Handler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  crash: () => void,
+) => Promise<void> | void;
+
+/**
+ * Starts an HTTP server on a free loopback port. A request that its sender breaks off is dropped; any
+ * other error of the handler is thrown.
+ */
+const listenOnLoopback = async (handle: Handler): Promise<LoopbackServer> => {
   const server = createServer();
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -51,7 +58,15 @@
     if (error.code !== 'EADDRINUSE') throw error;
     restart();
   });
-  server.on('request', (request, response) => handle(request, response, crash));
+  const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    try {
+      await handle(request, response, crash);
+    } catch (error) {
+      if (request.complete) throw error;
+      response.destroy();
+    }
+  };
+  server.on('request', serve);
   return { server, address: `127.0.0.1:${port}`, close, crash, crashCount: () => crashes };
 };
 
--- a/apps/platform-standin/src/newEngineServer.ts
+++ b/apps/platform-standin/src/newEngineServer.ts
@@ -169,9 +169,7 @@
     else await handleGeneration(request, response, crash);
   };
 
-  const loopback = await listenOnLoopback((request, response, crash) => {
-    handleRequest(request, response, crash).catch(() => response.destroy());
-  });
+  const loopback = await listenOnLoopback(handleRequest);
   return { ...loopback, id, faults, runs, orders, versions };
 };
 
--- a/apps/platform-standin/src/newPlainServer.ts
+++ b/apps/platform-standin/src/newPlainServer.ts
@@ -38,7 +38,7 @@
     deadlyPath: null,
   };
   const runs: PlainServer['runs'] = [];
-  const loopback = await listenOnLoopback((request, response, crash) => {
+  const loopback = await listenOnLoopback(async (request, response, crash) => {
     if (faults.isUnresponsive) return;
     if (faults.isOverloaded) {
       response.writeHead(503, { 'not-executed': '1', 'content-length': '0' });
@@ -50,27 +50,26 @@
     const customer = headers.tenant === undefined ? null : String(headers.tenant);
     const key = headers['x-api-key'] === undefined ? null : String(headers['x-api-key']);
     runs.push({ requestId, customer, key });
-    readBody(request).then((body) =>
-      setTimeout(() => {
-        if (response.destroyed) return;
-        const answerHeaders = {
-          'attempt-id': requestId,
-          'server-stamp': `${id}.${requestId}`,
-          'instance-load': '1,0,6',
-        };
-        if (body.toString() === faults.deadlyBody || request.url === faults.deadlyPath) {
-          crash();
-          return;
-        }
-        if (faults.brokenAnswers > 0) {
-          faults.brokenAnswers -= 1;
-          breakOff(response, answerHeaders, body);
-          return;
-        }
-        response.writeHead(200, { ...answerHeaders, 'content-length': String(body.length) });
-        response.end(body);
-      }, RESPONSE_DELAY_MS),
-    );
+    const body = await readBody(request);
+    setTimeout(() => {
+      if (response.destroyed) return;
+      const answerHeaders = {
+        'attempt-id': requestId,
+        'server-stamp': `${id}.${requestId}`,
+        'instance-load': '1,0,6',
+      };
+      if (body.toString() === faults.deadlyBody || request.url === faults.deadlyPath) {
+        crash();
+        return;
+      }
+      if (faults.brokenAnswers > 0) {
+        faults.brokenAnswers -= 1;
+        breakOff(response, answerHeaders, body);
+        return;
+      }
+      response.writeHead(200, { ...answerHeaders, 'content-length': String(body.length) });
+      response.end(body);
+    }, RESPONSE_DELAY_MS);
   });
   return { ...loopback, id, faults, runs };
 };
--- a/apps/platform-standin/src/newPlatform.ts
+++ b/apps/platform-standin/src/newPlatform.ts
@@ -72,18 +72,14 @@
   const memory = newMemoryStore();
   const store = await newStoreServer(memory);
   const reports: { holder: string; token: number; window: number; counts: unknown }[] = [];
-  const duties = await listenOnLoopback((request, response) => {
-    readBody(request).then((body) => {
-      const { 'window-id': window, counts } = JSON.parse(body.toString()) as Record<
-        string,
-        unknown
-      >;
-      const { headers } = request;
-      const holder = String(headers['duty-holder']);
-      const token = Number(headers['fencing-token']);
-      if (request.url === '/usage') reports.push({ holder, token, window: Number(window), counts });
-      sendJson(response, 200, {});
-    });
+  const duties = await listenOnLoopback(async (request, response) => {
+    const body = JSON.parse((await readBody(request)).toString()) as Record<string, unknown>;
+    const { 'window-id': window, counts } = body;
+    const { headers } = request;
+    const holder = String(headers['duty-holder']);
+    const token = Number(headers['fencing-token']);
+    if (request.url === '/usage') reports.push({ holder, token, window: Number(window), counts });
+    sendJson(response, 200, {});
   });
   const engines: (EngineServer & { domain: string; isListed: boolean })[] = [];
   const plain: (PlainServer & { domain: string })[] = [];
--- a/apps/platform-standin/src/newStoreServer.ts
+++ b/apps/platform-standin/src/newStoreServer.ts
@@ -142,9 +142,7 @@
     } else sendJson(response, 404, {});
   };
 
-  const loopback = await listenOnLoopback((request, response) => {
-    handleRequest(request, response).catch(() => response.destroy());
-  });
+  const loopback = await listenOnLoopback(handleRequest);
   return { ...loopback, faults };
 };
 
