--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -15,7 +15,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
-import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
+import type { MemoryBudget, MemoryLease } from '@cyclamengate/common/newMemoryBudget';
 import { announcedBytes } from '@cyclamengate/common/readBody';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import { sendJson } from '@cyclamengate/common/handler';
@@ -45,6 +45,8 @@
 /** Retry delay while no upstream in the batch's homes takes requests; about a registry update. */
 const HOME_RETRY_MS = 1_000;
 const BODY_TIMEOUT_MS = 30_000;
+/** A batch that may be forgotten is, once another one comes. */
+const MIN_EVICTION_MS = 100;
 /** Time limit for a part of a large batch; the store takes one in some tens of milliseconds. */
 const PART_TIMEOUT_MS = 1_500;
 /** Copies of a small batch: decoded, as records, as an item of a call to other hosts, and so on. */
@@ -130,6 +132,8 @@
         return rejected(408, type);
       case 'store-away':
         return notRun(type, STORE_RETRY_MS);
+      case 'no-memory':
+        return notRun(type, Math.max(MIN_EVICTION_MS, batches.nextEvictionAt() - clock.now()));
       default:
         return assertNever(type);
     }
@@ -154,10 +158,12 @@
     incoming: IncomingMessage,
     limitBytes: number,
     fields: BatchFields,
+    metadata: MemoryLease,
   ): Promise<Refusal | null> => {
     const startedAt = clock.now();
     const received = await receiveBatch({
       memory,
+      metadata,
       incoming,
       limitBytes,
       timeoutMs: BODY_TIMEOUT_MS,
@@ -239,10 +245,13 @@
       hostName: request.hostName,
       acceptedAt: clock.wallTime(),
     };
+    batches.evictExpired();
+    const metadata = memory.hold('metadata', 0);
     try {
-      answer(await receiveAndStore(incoming, maxBodyBytes, fields));
+      answer(await receiveAndStore(incoming, maxBodyBytes, fields, metadata));
     } finally {
       lease.release();
+      metadata.release();
     }
   };
 
--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -71,6 +71,7 @@
     clock,
     retentionMs,
     parts: partTexts,
+    memory,
     onRequestsDropped: heldRequests.drop,
   });
   const follower = newTopicFollower({
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -28,7 +28,7 @@
 import newSettingsView from '@cyclamengate/gateway/newSettingsView';
 import rankHosts from '@cyclamengate/hosts/rankHosts';
 import newUsageMeter from '@cyclamengate/hosts/newUsageMeter';
-import computeBodyBytes from './computeBodyBytes.js';
+import computeMemoryLimits from './computeMemoryLimits.js';
 import followPlatform from './followPlatform.js';
 import type { HostSettings } from './hostSettings.js';
 import newBatchHandlers from './newBatchHandlers.js';
@@ -62,7 +62,7 @@
     clock,
     log,
     metrics,
-    limitBytes: computeBodyBytes(settings.memory.limitMb),
+    limits: computeMemoryLimits(settings.memory.limitMb),
     collect: newGarbageCollector(),
   });
   const tasks = newTaskGroup((task, error) => {
@@ -188,6 +188,7 @@
     log,
     metrics,
     batches: batchStore.batches,
+    memory,
     client,
     newEventReader: newSseReader,
     candidates,
--- a/apps/host/src/receiveBatch.ts
+++ b/apps/host/src/receiveBatch.ts
@@ -1,9 +1,10 @@
 import type { IncomingMessage } from 'node:http';
 import newBatchParser from '@cyclamengate/adapter/newBatchParser';
 import type { SubmittedBatch } from '@cyclamengate/adapter/newBatchParser';
+import { itemBytes } from '@cyclamengate/batches/metadataBytes';
 import newBatchIntake from '@cyclamengate/batches/newBatchIntake';
 import type { BatchRequests, BatchIntakeOptions } from '@cyclamengate/batches/newBatchIntake';
-import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
+import type { MemoryBudget, MemoryLease } from '@cyclamengate/common/newMemoryBudget';
 import { Err, Ok } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
 
@@ -29,12 +30,16 @@
     | 'too-large'
     | 'too-slow'
     | 'aborted'
-    | 'store-away';
+    | 'store-away'
+    /** Every host would have to hold more of all batches than it may. */
+    | 'no-memory';
   message: string;
 }
 
 export interface ReceiveOptions extends BatchIntakeOptions {
   memory: Pick<MemoryBudget, 'noteFreed'>;
+  /** Grows by what every host will hold of the batch. */
+  metadata: Pick<MemoryLease, 'grow'>;
   incoming: IncomingMessage;
   limitBytes: number;
   timeoutMs: number;
@@ -45,16 +50,18 @@
 
 /** Receives the body of a batch, and stops at the first reason not to accept it. */
 const receive = async (
-  { memory, incoming, limitBytes, writePart }: ReceiveOptions,
+  { memory, metadata, incoming, limitBytes, writePart }: ReceiveOptions,
   signal: AbortSignal,
 ): Promise<Result<ReceivedBatch, ReceiveFault>> => {
   const intake = newBatchIntake({ writePart });
   let bytes = 0;
   let metadataCharacters = 0;
+  let hasMetadataRoom = true;
   const parser = newBatchParser({
     onBody: intake.addBody,
     onItem: (item) => {
       metadataCharacters += item.id.length + item.group.length;
+      hasMetadataRoom = hasMetadataRoom && metadata.grow(itemBytes(item));
       intake.addItem(item);
     },
   });
@@ -67,6 +74,7 @@
     const isTooMany =
       parser.itemCount() > MAX_ITEMS || metadataCharacters > MAX_METADATA_CHARACTERS;
     if (isTooMany) return newFault('too-many-items', `more than ${MAX_ITEMS}, or too long ids`);
+    if (!hasMetadataRoom) return newFault('no-memory', 'too much is known of other batches');
     return intake.hasFailed() ? newFault('store-away') : null;
   };
 
--- a/apps/host/tests/largeBodies.process.test.ts
+++ b/apps/host/tests/largeBodies.process.test.ts
@@ -1,24 +1,13 @@
-import newPlatform, {
-  HOST_NAME,
-  MODEL,
-  newOperatorSettings,
-} from '@cyclamengate/app-platform-standin/newPlatform';
+import { HOST_NAME, MODEL } from '@cyclamengate/app-platform-standin/newPlatform';
 import test from 'ava';
-import type { ExecutionContext } from 'ava';
 import { expectedTextOf, readAllResults, submit } from './batchHelpers.js';
-import { newHosts, send, sleep, waitUntil } from './newHosts.js';
+import { MAX_BODY_BYTES, isRefusedForNow, newMemorySystem, startLookups } from './memoryHelpers.js';
+import { send, sleep, waitUntil } from './newHosts.js';
 import type { Answer, TestHost } from './newHosts.js';
-import watchMemory from './watchMemory.js';
 
-const MAX_BODY_BYTES = 33_554_432;
-/** Memory beyond which the platform ends a host, and the flag with which it starts one. */
-const MEMORY_MB = 390;
-const NODE_FLAGS = ['--max-old-space-size=220'];
-const DOMAINS = ['detroit', 'cleveland', 'milwaukee'];
 /** How long the trainers of the smallest deployment wait for a batch to be accepted. */
 const ACCEPT_MS = 12_000;
 const SENDERS = 6;
-const LOOKUP_PAUSE_MS = 30;
 const GROUP_SIZE = 8;
 
 interface Shape {
@@ -60,51 +49,6 @@
     })),
   });
 
-/** Starts hosts with the memory of the smallest deployment, and watches that they keep to it. */
-const newSystem = async (t: ExecutionContext) => {
-  const platform = await newPlatform({ domains: DOMAINS, enginesPerDomain: 2 });
-  const settings = newOperatorSettings(2);
-  platform.publish('config', {
-    ...settings,
-    limits: { ...settings.limits, 'max-body-bytes': MAX_BODY_BYTES },
-  });
-  const system = await newHosts(platform, DOMAINS, undefined, {}, NODE_FLAGS);
-  const memory = watchMemory(system.hosts);
-  t.teardown(async () => {
-    memory.close();
-    await system.close();
-    await platform.close();
-  });
-  const checkHosts = (): void => {
-    system.hosts.forEach(({ child }) => t.is(child.exitCode ?? child.signalCode, null));
-    t.true(memory.peakMb() < MEMORY_MB, `at most ${Math.round(memory.peakMb())} MB`);
-  };
-  const [first, second, third] = system.hosts as [TestHost, TestHost, TestHost];
-  return { platform, system, first, second, third, checkHosts };
-};
-
-/** Sends small requests to each host in turn; @returns what ends them and gives their answers. */
-const startLookups = (hosts: TestHost[]): (() => Promise<Answer[]>) => {
-  const answers: Answer[] = [];
-  let isOver = false;
-  const run = async (): Promise<void> => {
-    for (let count = 0; !isOver; count += 1) {
-      const host = hosts[count % hosts.length] as TestHost;
-      answers.push(await send(host, 'GET', `/lookup/${count}`, { id: `lookup-${count}` }));
-      await sleep(LOOKUP_PAUSE_MS);
-    }
-  };
-  const running = run();
-  return async () => {
-    isOver = true;
-    await running;
-    return answers;
-  };
-};
-
-const isRefusedForNow = ({ status, headers }: Answer): boolean =>
-  status === 503 && Number(headers['retry-after']) > 0;
-
 /** Submits a batch, and again after the time that a host names, as trainers do. */
 const submitUntilAccepted = async (host: TestHost, id: string, text: string): Promise<Answer> => {
   const answer = await submit(host, id, text);
@@ -116,7 +60,7 @@
 test.serial('a batch as large as the operator allows is accepted, run and listed', async (t) => {
   // Guards against hosts that exceed their memory and are ended: a batch of 31 MB ended each host that
   // it reached, and was never accepted.
-  const { platform, system, first, second, third, checkHosts } = await newSystem(t);
+  const { platform, system, first, second, third, checkHosts } = await newMemorySystem(t);
   const stopLookups = startLookups(system.hosts);
   for (const [shape, sizes] of Object.entries(SHAPES)) {
     const name = shape.replaceAll(' ', '-');
@@ -149,7 +93,7 @@
   'large batches of several senders are accepted, or refused at once for now',
   async (t) => {
     // Guards against batches that are harmless one by one and end the host that takes them together.
-    const { first, second, checkHosts } = await newSystem(t);
+    const { first, second, checkHosts } = await newMemorySystem(t);
     const shapes = Object.values(SHAPES);
     const names = Array.from({ length: SENDERS }, (_, index) => `b${index}`);
     const answers = await Promise.all(
@@ -174,7 +118,7 @@
   'large requests of several callers are answered, or refused before they run',
   async (t) => {
     // Guards against hosts that hold the bodies of all requests that are waiting, and of their answers.
-    const { platform, system, first, checkHosts } = await newSystem(t);
+    const { platform, system, first, checkHosts } = await newMemorySystem(t);
     const body = 'p'.repeat(30_000_000);
     const stopLookups = startLookups(system.hosts.slice(1));
     const answers = await Promise.all(
@@ -200,7 +144,7 @@
   'a large batch goes on at another host when the one that runs it is stopped',
   async (t) => {
     // Guards against handovers of a whole batch that end the host that sends or takes them.
-    const { platform, system, first, checkHosts } = await newSystem(t);
+    const { platform, system, first, checkHosts } = await newMemorySystem(t);
     platform.engines.forEach(({ faults }) => Object.assign(faults, { slowdownFactor: 4 }));
     const text = newBatchText('b', { items: 128, bodyBytes: 180_000, scoringBytes: 0 });
     t.is((await submit(first, 'b', text)).status, 202);
--- a/apps/platform-standin/src/newEngineServer.ts
+++ b/apps/platform-standin/src/newEngineServer.ts
@@ -14,6 +14,8 @@
   resetAfterEvents: number | null;
   /** Factor by which the interval between events is multiplied. */
   slowdownFactor: number;
+  /** Number of bytes by which the data of each event is longer. */
+  paddingBytes: number;
   /** Responses carry the id of another request. */
   hasWrongAttemptId: boolean;
   /** A request with this body crashes the engine after its first event. */
@@ -58,6 +60,7 @@
     isUnresponsive: false,
     resetAfterEvents: null,
     slowdownFactor: 1,
+    paddingBytes: 0,
     hasWrongAttemptId: false,
     deadlyBody: null,
     deadlyPrompt: null,
@@ -145,7 +148,8 @@
       const currentVersion = versions.get(model) ?? 1;
       const versionField = currentVersion === version ? '' : `weight-versions: ${currentVersion}\n`;
       version = currentVersion;
-      response.write(`${versionField}id: ${event}\ndata: ${requestId}/${event}\n\n`);
+      const data = `${requestId}/${event}${'p'.repeat(faults.paddingBytes)}`;
+      response.write(`${versionField}id: ${event}\ndata: ${data}\n\n`);
       if (faults.deadlyBody !== null && body.toString() === faults.deadlyBody) {
         crash();
         return;
--- a/packages/batches/src/discardText.ts
+++ b/packages/batches/src/discardText.ts
@@ -11,6 +11,7 @@
 ): void => {
   repeats.countDiscarded(task.progress.events.length);
   task.progress = newProgress();
+  task.textLease.resize(0);
   task.savedEvents = 0;
   task.isCompletionSaved = false;
 };
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -2,6 +2,7 @@
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
+import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import newNotifier from '@cyclamengate/common/newNotifier';
 import type { Health } from '@cyclamengate/engines/newHealth';
 import type { Loads } from '@cyclamengate/engines/newLoads';
@@ -28,6 +29,7 @@
 import type { ItemScorer } from './newItemScorer.js';
 import newPartSaver from './newPartSaver.js';
 import newTakeovers from './newTakeovers.js';
+import newTextRoom from './newTextRoom.js';
 import newTaskList from './newTaskList.js';
 import type { ItemTask } from './newTaskList.js';
 import type { RequestReader } from './newRequestReader.js';
@@ -46,6 +48,7 @@
   clock: Clock;
   log: EventLog;
   metrics: Pick<Metrics, 'count'>;
+  memory: Pick<MemoryBudget, 'hold' | 'hasRoom'>;
   batches: Batches;
   client: UpstreamClient;
   newEventReader: () => EventReader;
@@ -88,12 +91,12 @@
 
 /** Runs the items of the batches that are assigned to this host. */
 const newBatchRunner = (options: BatchRunnerOptions) => {
-  const { clock, log, batches, client, candidates, health, loads, paces, scorer, write } = options;
+  const { clock, log, memory, batches, client, candidates, health, loads, paces, scorer } = options;
   const { newEventReader, newestVersion, readSettings, isOwner, homesOf, mayWork, isListed } =
     options;
-  const tasks = newTaskList({ clock, log, findText: batches.findText });
+  const tasks = newTaskList({ clock, log, memory, findText: batches.findText });
   const savePart = newPartSaver({ clock, writer: options.incarnation, write: options.writePart });
-  const { writeText, readParts, requests } = options;
+  const { write, writeText, readParts, requests } = options;
   const { abandon, score, resume } = newItemFinisher({
     clock,
     log,
@@ -139,9 +142,11 @@
   });
 
   const repeats = newRepeatCounter(options.metrics);
+  const textRoom = newTextRoom(memory);
   const runItem = newItemRunner({
     clock,
     log,
+    textRoom,
     client,
     newEventReader,
     health,
@@ -193,7 +198,10 @@
       planStarts(describe(scope.list, current), current, refusals.isRefusing).forEach(
         ({ key, candidate }) => {
           const task = tasks.get(key);
-          const isAllowed = task && refusals.mayStart(candidate.entry.id, task.state.batch.model);
+          const isAllowed =
+            task &&
+            refusals.mayStart(candidate.entry.id, task.state.batch.model) &&
+            textRoom.mayBegin(task);
           if (isAllowed) runItem(task, candidate);
         },
       );
--- a/packages/batches/src/newBatchState.ts
+++ b/packages/batches/src/newBatchState.ts
@@ -1,3 +1,4 @@
+import type { MemoryLease } from '@cyclamengate/common/newMemoryBudget';
 import type { Batch, BatchHead, Item, ItemHead, ItemResult, TextPlace } from './batchRecord.js';
 import mapById from './mapById.js';
 import { newItemHead } from './newBatchHead.js';
@@ -50,6 +51,8 @@
   executorReportedAt: number;
   /** Time on the monotonic clock after which this host evicts the batch if it has ended. */
   evictAt: number;
+  /** Counts what this host knows of the batch. */
+  lease: MemoryLease;
 }
 
 /** Text of an item that was generated under any batch. */
@@ -66,7 +69,7 @@
 const newBatchState = (
   batch: Batch | BatchHead,
   isLogged: boolean,
-  times: Pick<BatchState, 'executorReportedAt' | 'evictAt'>,
+  given: Pick<BatchState, 'executorReportedAt' | 'evictAt' | 'lease'>,
 ): BatchState => {
   const hasRequests = batch.type === 'batch';
   return {
@@ -82,7 +85,7 @@
     isBegunHere: !isLogged,
     handedOverUntil: -Infinity,
     executor: null,
-    ...times,
+    ...given,
   };
 };
 
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -1,14 +1,18 @@
 import type Clock from '@cyclamengate/common/Clock';
 import assertNever from '@cyclamengate/common/assertNever';
+import { unlimitedMemory } from '@cyclamengate/common/newMemoryBudget';
+import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import type {
   Batch,
   BatchBegun,
   BatchChange,
   BatchHead,
   BatchRecord,
+  ItemHead,
   ItemResult,
 } from './batchRecord.js';
 import mapById from './mapById.js';
+import { RESULT_BYTES, itemBytes } from './metadataBytes.js';
 import newBatchState from './newBatchState.js';
 import type { BatchState, EarlierText } from './newBatchState.js';
 import type { PartialTexts } from './newPartialTexts.js';
@@ -26,6 +30,8 @@
   retentionMs: number;
   /** Partial texts, as far as they were read. */
   parts: PartialTexts;
+  /** Counts what is known of all batches. */
+  memory?: Pick<MemoryBudget, 'hold'>;
   /** Called when the requests of a batch are no longer held here. */
   onRequestsDropped?: (batch: string) => void;
 }
@@ -38,7 +44,7 @@
  * effect, so that every host gives the same answer without asking another.
  */
 const newBatches = (options: BatchesOptions) => {
-  const { clock, retentionMs, parts, onRequestsDropped } = options;
+  const { clock, retentionMs, parts, memory = unlimitedMemory, onRequestsDropped } = options;
   const states = new Map<string, BatchState>();
   const completed = new Map<string, { digest: string; result: ItemResult }>();
   const reportedExecutors = new Map<string, BatchExecutor & { at: number }>();
@@ -50,10 +56,14 @@
     return clock.now() + Math.max(0, retentionMs - ageMs) + retentionMs / 2;
   };
 
+  const sumBytes = (items: Pick<ItemHead, 'id' | 'group'>[]): number =>
+    items.reduce((sum, item) => sum + itemBytes(item), 0);
+
   const add = (batch: Batch | BatchHead, isLogged: boolean): BatchState => {
     const state = newBatchState(batch, isLogged, {
       executorReportedAt: reportedExecutors.has(batch.id) ? clock.now() : -Infinity,
       evictAt: computeEvictionTime(batch),
+      lease: memory.hold('metadata', sumBytes(batch.items)),
     });
     states.set(batch.id, state);
     return state;
@@ -90,6 +100,7 @@
       return null;
     state.finished.add(result.item);
     state.results.push(result);
+    state.lease.add(RESULT_BYTES);
     parts.remove(result.item);
     const item = state.items.get(result.item);
     if (item && result.state === 'completed') {
@@ -127,18 +138,26 @@
     }
   };
 
+  const forget = (state: BatchState): void => {
+    dropRequests(state);
+    state.lease.release();
+    states.delete(state.batch.id);
+  };
+
+  /** When a batch is forgotten unless it ends before, on the monotonic clock. */
+  const evictionTime = ({ isEnded, evictAt }: BatchState): number =>
+    evictAt + (isEnded ? 0 : (OPEN_RETENTION_FACTOR - 1) * retentionMs);
+
   const evictExpired = (): void => {
     reportedExecutors.forEach(({ at }, id) => {
       if (at + retentionMs < clock.now()) reportedExecutors.delete(id);
     });
-    states.forEach((state, id) => {
-      const openMs = state.isEnded ? 0 : (OPEN_RETENTION_FACTOR - 1) * retentionMs;
-      if (state.evictAt + openMs >= clock.now()) return;
-      dropRequests(state);
+    states.forEach((state) => {
+      if (evictionTime(state) >= clock.now()) return;
       state.results.forEach(({ item, batch }) => {
         if (completed.get(item)?.result.batch === batch) completed.delete(item);
       });
-      states.delete(id);
+      forget(state);
     });
   };
 
@@ -211,10 +230,11 @@
       const state = states.get(id);
       if (!state) return;
       state.isBegunHere = false;
-      if (state.isLogged) return;
-      dropRequests(state);
-      states.delete(id);
+      if (!state.isLogged) forget(state);
     },
+    evictExpired,
+    /** When the next batch is forgotten, on the monotonic clock; infinity if there is none. */
+    nextEvictionAt: (): number => Math.min(...[...states.values()].map(evictionTime)),
     open: (): BatchState[] =>
       [...states.values()].filter(
         ({ isEnded, finished, items }) => !isEnded && finished.size < items.size,
--- a/packages/batches/src/newItemRunner.ts
+++ b/packages/batches/src/newItemRunner.ts
@@ -15,6 +15,7 @@
 import newRunEndHandler from './newRunEndHandler.js';
 import type { RunEndHandlerOptions } from './newRunEndHandler.js';
 import type { ItemTask } from './newTaskList.js';
+import type { RunRoom, TextRoom } from './newTextRoom.js';
 import { meetsMinVersion } from './progress.js';
 import runOnce from './runOnce.js';
 import type { RunEnd } from './runOnce.js';
@@ -25,6 +26,7 @@
 const UNREAD_RETRY_MS = 100;
 
 export interface ItemRunnerOptions extends RunEndHandlerOptions {
+  textRoom: Pick<TextRoom, 'begin'>;
   client: UpstreamClient;
   newEventReader: () => EventReader;
   loads: Loads;
@@ -37,7 +39,7 @@
 
 /** Runs an item once on an engine, and handles the end of the run. */
 const newItemRunner = (options: ItemRunnerOptions) => {
-  const { clock, log, client, newEventReader, loads, paces, refusals } = options;
+  const { clock, log, textRoom, client, newEventReader, loads, paces, refusals } = options;
   const { reservations, repeats, requests, routeOf } = options;
   const handleRunEnd = newRunEndHandler(options);
 
@@ -52,6 +54,16 @@
     discardText(task, repeats);
   };
 
+  /** Discards a text that had no room; it is generated again once others have ended. */
+  const dropText = (task: ItemTask): void => {
+    log.warn('item.text-dropped', {
+      requestId: task.item.id,
+      batch: task.state.batch.id,
+      events: task.progress.events.length,
+    });
+    discardText(task, repeats);
+  };
+
   return async (task: ItemTask, { entry, pace }: Candidate): Promise<void> => {
     const { state, item } = task;
     const { batch } = state;
@@ -78,8 +90,9 @@
       lastEventId: progress.lastEventId,
       run: task.runs,
     });
-    const loaded = await requests.load(state, item.id);
-    const run = async (request: ItemRequest): Promise<RunEnd> =>
+    const room = textRoom.begin(task);
+    const loaded = room && (await requests.load(state, item.id));
+    const run = async (request: ItemRequest, holdText: RunRoom['hold']): Promise<RunEnd> =>
       runOnce({
         clock,
         client,
@@ -90,15 +103,18 @@
         isVersionAllowed: (version) =>
           version >= batch.leastVersion &&
           (!isSingleVersion || progress.versions.every((other) => other === version)),
+        holdText,
         onEvent: (gapMs) => paces.record(entry, EVENT_KIND, gapMs),
         onLoad: (load) => loads.report(entry.id, load),
         onAccepted: () => refusals.clear(entry.id, batch.model),
         signal: AbortSignal.any([task.controller.signal, runController.signal]),
       });
     const end: RunEnd = loaded
-      ? await run(loaded.request)
+      ? await run(loaded.request, room.hold)
       : { type: 'unread', retryAt: clock.now() + UNREAD_RETRY_MS };
     loaded?.release();
+    room?.end(end.type === 'whole');
+    if (end.type === 'no-room') dropText(task);
     loads.end(entry.id);
     task.upstream = null;
     if (end.type !== 'whole') discardUnusable(task, isSingleVersion);
--- a/packages/batches/src/newRunEndHandler.ts
+++ b/packages/batches/src/newRunEndHandler.ts
@@ -79,6 +79,7 @@
         return;
       case 'held':
       case 'unread':
+      case 'no-room':
         requeue(task, end.retryAt - clock.now());
         return;
       case 'interrupted':
--- a/packages/batches/src/newSegmentCache.ts
+++ b/packages/batches/src/newSegmentCache.ts
@@ -12,7 +12,7 @@
 
 /** Keeps the segments that this host has read last, up to a part of the memory budget. */
 const newSegmentCache = (memory: MemoryBudget) => {
-  const maxBytes = memory.limitBytes * CACHED_PART;
+  const maxBytes = memory.limits.bodies * CACHED_PART;
   const segments = new Map<string, CachedSegment>();
   let bytes = 0;
 
--- a/packages/batches/src/newTaskList.ts
+++ b/packages/batches/src/newTaskList.ts
@@ -1,9 +1,11 @@
 import type Clock from '@cyclamengate/common/Clock';
+import { unlimitedMemory } from '@cyclamengate/common/newMemoryBudget';
+import type { MemoryBudget, MemoryLease } from '@cyclamengate/common/newMemoryBudget';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { ItemHead, ItemResult, TextPlace } from './batchRecord.js';
 import type { BatchState, EarlierText } from './newBatchState.js';
 import estimateRest from './estimateRest.js';
-import { meetsMinVersion, newProgress } from './progress.js';
+import { countTextBytes, meetsMinVersion, newProgress } from './progress.js';
 import type { Progress } from './progress.js';
 
 /** Tokens in one stream event of the platform's usual engines. */
@@ -13,6 +15,10 @@
 const MAX_RETAINED_CHARACTERS = 8_000_000;
 /** A host with more open items takes up the rest as these are finished. */
 const MAX_TASKS = 20_000;
+/** Items that a host works on however much it knows of other batches. */
+const MIN_TASKS = 2_000;
+/** What a host holds of an item that it runs, beside its text. */
+const TASK_BYTES = 1_024;
 /** Groups of which the first batch is known. */
 const MAX_GROUPS = 50_000;
 
@@ -55,11 +61,14 @@
   runController: AbortController | null;
   /** Aborts all work on the item. */
   controller: AbortController;
+  /** Counts the text. */
+  textLease: MemoryLease;
 }
 
 export interface TaskListOptions {
   clock: Clock;
   log: EventLog;
+  memory?: Pick<MemoryBudget, 'hold' | 'hasRoom'>;
   /** Text of an item according to the log. */
   findText: (item: string) => EarlierText | null;
 }
@@ -73,8 +82,10 @@
 const taskKey = (state: BatchState, item: string): string => `${state.batch.id}/${item}`;
 
 /** Holds the items that this host has to run, with their progress. */
-const newTaskList = ({ clock, log, findText }: TaskListOptions) => {
+const newTaskList = (options: TaskListOptions) => {
+  const { clock, log, memory = unlimitedMemory, findText } = options;
   const tasks = new Map<string, ItemTask>();
+  const tasksLease = memory.hold('metadata', 0);
   /** Unfinished texts of ended batches, whose groups may be sent again. */
   const retainedTexts = new Map<string, RetainedText>();
   let retainedCharacters = 0;
@@ -123,12 +134,13 @@
     if (firstBatchByGroup.size > MAX_GROUPS && oldest !== undefined) {
       firstBatchByGroup.delete(oldest);
     }
+    const progress = text?.progress ?? newProgress();
     const task: ItemTask = {
       key: taskKey(state, item.id),
       state,
       item,
       phase: text?.isComplete ? 'unscored' : 'waiting',
-      progress: text?.progress ?? newProgress(),
+      progress,
       createdAt: clock.now(),
       savedEvents: 0,
       isSaving: false,
@@ -146,8 +158,10 @@
       upstream: null,
       runController: null,
       controller: new AbortController(),
+      textLease: memory.hold('texts', countTextBytes(progress)),
     };
     tasks.set(task.key, task);
+    tasksLease.add(TASK_BYTES);
     return task;
   };
 
@@ -168,9 +182,25 @@
     }
     task.controller.abort('no longer wanted here');
     tasks.delete(task.key);
+    tasksLease.add(-TASK_BYTES);
+    task.textLease.release();
     retainText(task);
   };
 
+  const mayAdd = (): boolean =>
+    tasks.size < MIN_TASKS || (tasks.size < MAX_TASKS && memory.hasRoom('metadata', TASK_BYTES));
+
+  /** Adds the unfinished items of a batch that are missing, as far as there is room for them. */
+  const addMissing = (state: BatchState): ItemTask[] => {
+    const added: ItemTask[] = [];
+    for (const item of state.items.values()) {
+      if (!mayAdd()) break;
+      const isMissing = !state.finished.has(item.id) && !tasks.has(taskKey(state, item.id));
+      if (isMissing) added.push(add(state, item));
+    }
+    return added;
+  };
+
   return {
     /**
      * Reconciles the tasks with the batches that are assigned to this host.
@@ -181,12 +211,7 @@
       [...tasks.values()]
         .filter(({ state, item }) => !wanted.has(state) || state.finished.has(item.id))
         .forEach(endTask);
-      return assigned.flatMap((state) =>
-        [...state.items.values()]
-          .filter(({ id }) => !state.finished.has(id) && !tasks.has(taskKey(state, id)))
-          .slice(0, Math.max(0, MAX_TASKS - tasks.size))
-          .map((item) => add(state, item)),
-      );
+      return assigned.flatMap(addMissing);
     },
     all: (): ItemTask[] => [...tasks.values()],
     get: (key: string): ItemTask | undefined => tasks.get(key),
--- a/packages/batches/src/progress.ts
+++ b/packages/batches/src/progress.ts
@@ -15,3 +15,19 @@
   { versions }: Pick<Progress, 'versions'>,
   minVersion: number,
 ): boolean => versions.every((version) => version >= minVersion);
+
+/** An event beside its characters. */
+const EVENT_BYTES = 32;
+/** A text is held as events, as a part that is saved, in pieces, and as the whole that is written. */
+const COPIES_OF_TEXT = 4;
+
+/** What a host holds of a text that consists of so many bytes and events. */
+export const heldTextBytes = (bytes: number, events: number): number =>
+  COPIES_OF_TEXT * (bytes + EVENT_BYTES * events);
+
+/** What a host holds of a text. */
+export const countTextBytes = ({ events }: Pick<Progress, 'events'>): number =>
+  heldTextBytes(
+    events.reduce((sum, event) => sum + Buffer.byteLength(event), 0),
+    events.length,
+  );
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -22,6 +22,9 @@
  */
 const EVENT_TIMEOUT_MS = 1_200;
 
+/** Delay before an item is run again for whose text there was no room. */
+const NO_ROOM_RETRY_MS = 500;
+
 export type InterruptionCause = Extract<RepeatCause, 'moved' | 'silent' | 'cut' | 'version'>;
 
 /** Outcome of one run of an item on one engine. */
@@ -34,6 +37,8 @@
   | { type: 'held'; retryAt: number }
   /** Not sent, since its request can't be read, or held, now; `retryAt` as above. */
   | { type: 'unread'; retryAt: number }
+  /** Its text does not fit beside the other texts that this host holds; `retryAt` as above. */
+  | { type: 'no-room'; retryAt: number }
   /** The engine ran the item and failed. */
   | { type: 'failed'; status: number }
   /** The engine reports that the item can never succeed. */
@@ -49,6 +54,8 @@
   progress: Progress;
   /** Whether text of this version may be used. */
   isVersionAllowed: (version: number) => boolean;
+  /** Called with the size of each part of the text; @returns whether this host can hold it. */
+  holdText: (bytes: number) => boolean;
   /** @param gapMs time since the previous event */
   onEvent: (gapMs: number) => void;
   onLoad: (load: ReportedLoad) => void;
@@ -66,7 +73,7 @@
 /** Runs an item once, resuming after its progress, and appends the events to the progress. */
 const runOnce = async (options: RunOnceOptions): Promise<RunEnd> => {
   const { clock, client, newEventReader, entry, request, progress } = options;
-  const { isVersionAllowed, onEvent, onLoad, onAccepted, signal } = options;
+  const { isVersionAllowed, holdText, onEvent, onLoad, onAccepted, signal } = options;
   const firstTimeoutMs = FIRST_EVENT_TIMEOUT_MS + computeTransferMs(request.body);
   const idleTimeout = newIdleTimeout({
     clock,
@@ -84,6 +91,10 @@
     let lastAt: number | null = null;
     for await (const chunk of answer.body) {
       idleTimeout.reset();
+      // Before it is read: an event that never ends would be collected until this host ends.
+      if (!holdText(chunk.length)) {
+        return { type: 'no-room', retryAt: clock.now() + NO_ROOM_RETRY_MS };
+      }
       const events = reader(chunk);
       if (lastAt !== null) {
         const gapMs = (clock.now() - lastAt) / events.length;
--- a/packages/batches/tests/newBatches.test.ts
+++ b/packages/batches/tests/newBatches.test.ts
@@ -1,4 +1,5 @@
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import newTestMemory from '@cyclamengate/fakes/newTestMemory';
 import test from 'ava';
 import newBatches from '../src/newBatches.js';
 import newPartialTexts from '../src/newPartialTexts.js';
@@ -118,3 +119,24 @@
     records,
   );
 });
+
+test('what is known of a batch is counted until the batch is forgotten', async (t) => {
+  // Guards against a host that counts batches that it forgot, and refuses all others for good.
+  const clock = newManualClock();
+  const memory = newTestMemory();
+  const parts = newPartialTexts(clock);
+  const batches = newBatches({ clock, retentionMs: 120_000, parts, memory });
+  t.is(batches.nextEvictionAt(), Number.POSITIVE_INFINITY);
+  batches.apply(newBatch('b', [newItem('1'), newItem('2')]));
+  const items = memory.heldBytes('metadata');
+  t.true(items > 0);
+  batches.apply(result('b', '1', 'one'));
+  t.true(memory.heldBytes('metadata') > items);
+  batches.apply({ type: 'batch-end', batch: 'b' });
+  await clock.advance(batches.nextEvictionAt() - clock.now() + 1);
+  batches.evictExpired();
+  t.is(memory.heldBytes('metadata'), 0);
+  batches.begin(newBatch('c', [newItem('1')]));
+  batches.withdraw('c');
+  t.is(memory.heldBytes('metadata'), 0);
+});
--- a/packages/batches/tests/newPeerServer.test.ts
+++ b/packages/batches/tests/newPeerServer.test.ts
@@ -18,7 +18,7 @@
   t.deepEqual([...begun], []);
   await caller.begin(batch);
   t.deepEqual([...begun], ['b']);
-  t.is(memory.heldBytes(), 0);
+  t.is(memory.heldBytes('bodies'), 0);
 });
 
 test('a call that is larger than any host sends is refused', async (t) => {
--- a/packages/batches/tests/newRequestReader.test.ts
+++ b/packages/batches/tests/newRequestReader.test.ts
@@ -78,7 +78,7 @@
   t.is(loaded?.request.path, '/rounds/1');
   t.is(state.requests, null);
   loaded?.release();
-  t.is(memory.heldBytes(), 0);
+  t.is(memory.heldBytes('bodies'), 0);
 });
 
 test('a host that runs a large batch holds a few of its segments at a time', async (t) => {
@@ -90,10 +90,10 @@
     const loaded = await requests.load(state, id);
     t.is(loaded?.request.body.toString('base64'), body);
     loaded?.release();
-    t.true(memory.heldBytes() < 4_000_000);
+    t.true(memory.heldBytes('bodies') < 4_000_000);
   }
   requests.forget(state);
-  t.is(memory.heldBytes(), 0);
+  t.is(memory.heldBytes('bodies'), 0);
 });
 
 test('a request that does not fit beside others is loaded once these are given back', async (t) => {
@@ -107,7 +107,7 @@
   const second = await requests.load(state, '1');
   t.is(second?.request.body.length, 7_000_000);
   second?.release();
-  t.is(memory.heldBytes(), 0);
+  t.is(memory.heldBytes('bodies'), 0);
 });
 
 test('all items of a small batch are handed over, and none of a large one', async (t) => {
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -114,6 +114,7 @@
     clock,
     log: silentLog,
     metrics,
+    memory: newTestMemory(),
     batches,
     client: new FakeClient(),
     newEventReader: newLineReader,
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -20,6 +20,7 @@
   minVersion?: number;
   version?: number | null;
   status?: number;
+  maxTextBytes?: number;
 }
 
 const run = async (
@@ -30,8 +31,10 @@
     minVersion = 1,
     version = 1,
     status = 200,
+    maxTextBytes = Number.POSITIVE_INFINITY,
   }: RunOptions = {},
 ) => {
+  let textBytes = 0;
   const sent: UpstreamRequest[] = [];
   const read = { isToEnd: false };
 
@@ -80,6 +83,10 @@
       lastEventId: progress.lastEventId,
     },
     isVersionAllowed: (candidate) => candidate >= minVersion,
+    holdText: (bytes) => {
+      textBytes += bytes;
+      return textBytes <= maxTextBytes;
+    },
     onEvent: () => {},
     onLoad: () => {},
     onAccepted: () => {},
@@ -157,3 +164,12 @@
     t.is(outcome.type, type);
   });
 }
+
+test('a text that has no room ends its run, also in an event that never ends', async (t) => {
+  // Guards against an engine that sends bytes without an end, which its host would collect.
+  const lines = [eventLine(1, 'a'), ...Array.from({ length: 50 }, () => '[2,"endless')];
+  const { outcome, progress, read } = await run(lines, { maxTextBytes: 100 });
+  t.is(outcome.type, 'no-room');
+  t.false(read.isToEnd);
+  t.deepEqual(progress.events, ['a']);
+});
--- a/packages/common/src/newMemoryBudget.ts
+++ b/packages/common/src/newMemoryBudget.ts
@@ -3,13 +3,35 @@
 import type { Metrics } from './newMetrics.js';
 
 /** What bytes are held for; part of the names of the metrics. */
-export type MemoryUse = 'requests' | 'batches' | 'items' | 'peers' | 'results' | 'answers';
+export type MemoryUse =
+  'requests' | 'batches' | 'items' | 'peers' | 'results' | 'answers' | 'metadata' | 'texts';
 
-const USES: MemoryUse[] = ['requests', 'batches', 'items', 'peers', 'results', 'answers'];
+/**
+ * The limits that uses share: bodies; what a host knows of all batches; texts of items that it runs.
+ * Each has one of its own, or what is held for minutes would leave no room for the work itself.
+ */
+export type MemoryPool = 'bodies' | 'metadata' | 'texts';
+
+/** Maximum number of bytes that are held at a time, by pool. */
+export type MemoryLimits = Record<MemoryPool, number>;
+
+const POOL_OF: Record<MemoryUse, MemoryPool> = {
+  requests: 'bodies',
+  batches: 'bodies',
+  items: 'bodies',
+  peers: 'bodies',
+  results: 'bodies',
+  answers: 'bodies',
+  metadata: 'metadata',
+  texts: 'texts',
+};
+
+const USES = Object.keys(POOL_OF) as MemoryUse[];
+const POOLS: MemoryPool[] = ['bodies', 'metadata', 'texts'];
 
-/** Leases up to this size may use the whole budget, larger ones leave the reserve to them. */
+/** Leases up to this size may use a whole pool, larger ones leave the reserve to them. */
 const SMALL_LEASE_BYTES = 262_144;
-/** Part of the budget that is kept for small leases. */
+/** Part of a pool that is kept for small leases. */
 const RESERVED_PART = 0.125;
 /** Large leases last about as long as it takes to receive and store a large body. */
 const INITIAL_HOLD_MS = 1_000;
@@ -26,6 +48,8 @@
   resize: (bytes: number) => boolean;
   /** Adds to the size; @returns as `resize` */
   grow: (bytes: number) => boolean;
+  /** Adds what has to be held in any case. */
+  add: (bytes: number) => void;
   /** Gives the bytes back; does nothing when called again. */
   release: () => void;
 }
@@ -34,37 +58,46 @@
 export const unlimitedLease: MemoryLease = {
   resize: () => true,
   grow: () => true,
+  add: () => {},
   release: () => {},
 };
 
+/** As `unlimitedLease`. */
+export const unlimitedMemory = {
+  hasRoom: (): boolean => true,
+  hold: (): MemoryLease => unlimitedLease,
+};
+
 export interface MemoryBudgetOptions {
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
-  /** Maximum number of bytes that are held at a time. */
-  limitBytes: number;
+  limits: MemoryLimits;
   /** Returns the memory of released buffers to the system. */
   collect: () => void;
 }
 
 /**
- * Bounds the bytes that a process holds for bodies of any kind, all together.
+ * Bounds the bytes that a process holds for bodies, texts and metadata of any kind, all together.
  *
  * Each body within the operator's limit is harmless; several at once, or the copies of a large one,
  * exceed the memory of the process, which is then killed with all its other work. Whoever holds or
  * copies a body takes a lease first, and refuses the work at once if there is no room. Released
- * bytes are not lent again before their memory has been returned to the system.
+ * bytes of bodies are not lent again before their memory has been returned to the system.
  */
 const newMemoryBudget = (options: MemoryBudgetOptions) => {
-  const { clock, log, metrics, limitBytes, collect } = options;
+  const { clock, log, metrics, limits, collect } = options;
   const heldByUse = new Map<MemoryUse, number>(USES.map((use) => [use, 0]));
-  let held = 0;
-  /** Released by large leases, and possibly not yet returned to the system. */
+  const heldByPool = new Map<MemoryPool, number>(POOLS.map((pool) => [pool, 0]));
+  /** Bodies that were released by large leases, and possibly not yet returned to the system. */
   let unreturned = 0;
   let holdMs = INITIAL_HOLD_MS;
 
+  const heldBytes = (pool: MemoryPool): number => heldByPool.get(pool) ?? 0;
+
   const add = (use: MemoryUse, bytes: number): void => {
-    held += bytes;
+    const pool = POOL_OF[use];
+    heldByPool.set(pool, heldBytes(pool) + bytes);
     heldByUse.set(use, (heldByUse.get(use) ?? 0) + bytes);
   };
 
@@ -72,23 +105,32 @@
     const startedAt = clock.now();
     collect();
     const tookMs = Math.round(clock.now() - startedAt);
-    log.info('memory.returned', { bytes: unreturned, held, tookMs });
+    log.info('memory.returned', { bytes: unreturned, held: heldBytes('bodies'), tookMs });
     unreturned = 0;
   };
 
-  const limitFor = (bytes: number): number =>
-    bytes <= SMALL_LEASE_BYTES ? limitBytes : limitBytes * (1 - RESERVED_PART);
+  const noteFreed = (use: MemoryUse, bytes: number): void => {
+    if (POOL_OF[use] === 'bodies') unreturned += bytes;
+  };
 
-  const hasRoom = (bytes: number, more: number): boolean => {
+  /** @param bytes size of a lease with the additional bytes */
+  const hasRoom = (use: MemoryUse, bytes: number, more: number = bytes): boolean => {
     if (more <= 0) return true;
-    if (held + more > limitFor(bytes)) return false;
-    if (unreturned > 0 && held + unreturned + more > limitBytes) returnFreed();
-    return true;
+    const pool = POOL_OF[use];
+    const limitBytes = limits[pool] * (bytes <= SMALL_LEASE_BYTES ? 1 : 1 - RESERVED_PART);
+    return heldBytes(pool) + more <= limitBytes;
+  };
+
+  /** Returns what was freed if the additional bytes would exceed the limit beside it. */
+  const makeRoom = (use: MemoryUse, more: number): void => {
+    if (POOL_OF[use] !== 'bodies' || unreturned === 0 || more <= 0) return;
+    if (heldBytes('bodies') + unreturned + more > limits.bodies) returnFreed();
   };
 
   const refuse = (use: MemoryUse, bytes: number): void => {
+    const pool = POOL_OF[use];
     metrics.count(`memory_refused_${use}`);
-    log.warn('memory.refused', { use, bytes, held, limitBytes });
+    log.warn('memory.refused', { use, bytes, held: heldBytes(pool), limitBytes: limits[pool] });
   };
 
   const newLease = (use: MemoryUse, initialBytes: number): MemoryLease => {
@@ -98,11 +140,12 @@
     add(use, initialBytes);
     const resize = (bytes: number): boolean => {
       if (isReleased) return false;
-      if (!hasRoom(bytes, bytes - size)) {
+      if (!hasRoom(use, bytes, bytes - size)) {
         refuse(use, bytes);
         return false;
       }
-      if (bytes < size && size > SMALL_LEASE_BYTES) unreturned += size - bytes;
+      makeRoom(use, bytes - size);
+      if (bytes < size && size > SMALL_LEASE_BYTES) noteFreed(use, size - bytes);
       add(use, bytes - size);
       size = bytes;
       return true;
@@ -110,40 +153,53 @@
     return {
       resize,
       grow: (bytes) => resize(size + bytes),
+      add: (bytes) => {
+        if (isReleased) return;
+        add(use, bytes);
+        size += bytes;
+      },
       release: () => {
         if (isReleased) return;
         isReleased = true;
         add(use, -size);
         if (size <= SMALL_LEASE_BYTES) return;
-        unreturned += size;
+        noteFreed(use, size);
+        if (POOL_OF[use] !== 'bodies') return;
         holdMs += HOLD_TIME_WEIGHT * (clock.now() - startedAt - holdMs);
       },
     };
   };
 
-  metrics.gauge('memory_limit_bytes', () => limitBytes);
-  metrics.gauge('memory_held_bytes', () => held);
+  POOLS.forEach((pool) => {
+    metrics.gauge(`memory_limit_bytes_of_${pool}`, () => limits[pool]);
+    metrics.gauge(`memory_held_bytes_of_${pool}`, () => heldBytes(pool));
+  });
   metrics.gauge('memory_unreturned_bytes', () => unreturned);
   USES.forEach((use) => metrics.gauge(`memory_held_bytes_${use}`, () => heldByUse.get(use) ?? 0));
 
   return {
-    limitBytes,
+    limits,
+    hasRoom,
     /** @returns null if the budget has no room for the bytes now */
     reserve: (use: MemoryUse, bytes: number): MemoryLease | null => {
-      if (hasRoom(bytes, bytes)) return newLease(use, bytes);
-      refuse(use, bytes);
-      return null;
+      if (!hasRoom(use, bytes)) {
+        refuse(use, bytes);
+        return null;
+      }
+      makeRoom(use, bytes);
+      return newLease(use, bytes);
     },
     /** Counts bytes that have to be held in any case; what is asked for next is refused instead. */
     hold: newLease,
     /** Counts buffers that were used and dropped under a lease that goes on. */
     noteFreed: (bytes: number): void => {
       unreturned += bytes;
-      if (unreturned >= MIN_RETURNED_BYTES && held + unreturned > limitBytes) returnFreed();
+      const isOver = heldBytes('bodies') + unreturned > limits.bodies;
+      if (unreturned >= MIN_RETURNED_BYTES && isOver) returnFreed();
     },
-    /** After how many milliseconds what has no room now can be expected to have some. */
+    /** After how many milliseconds a body that has no room now can be expected to have some. */
     retryAfterMs: (): number => Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, holdMs))),
-    heldBytes: (): number => held,
+    heldBytes,
   };
 };
 
--- a/packages/common/tests/newMemoryBudget.test.ts
+++ b/packages/common/tests/newMemoryBudget.test.ts
@@ -17,7 +17,7 @@
     clock: { now: () => time.now, wallTime: () => time.now, sleepUntil: async () => {} },
     log: { info: log, warn: log, error: log },
     metrics,
-    limitBytes: LIMIT_BYTES,
+    limits: { bodies: LIMIT_BYTES, metadata: 10 * MB, texts: 10 * MB },
     collect: () => {
       collections.count += 1;
     },
@@ -36,7 +36,7 @@
   t.regex(metrics.text(), /memory_held_bytes_requests 60000000/);
   first?.release();
   first?.release();
-  t.is(memory.heldBytes(), 0);
+  t.is(memory.heldBytes('bodies'), 0);
   t.truthy(memory.reserve('batches', 60 * MB));
 });
 
@@ -47,7 +47,7 @@
   while (memory.reserve('requests', 5 * MB)) large += 1;
   t.true(large > 10);
   for (let small = 0; small < 100; small += 1) t.truthy(memory.reserve('requests', 10_000));
-  t.true(memory.heldBytes() <= LIMIT_BYTES);
+  t.true(memory.heldBytes('bodies') <= LIMIT_BYTES);
 });
 
 test('a lease that grows is bounded, and keeps its size if there is no room', (t) => {
@@ -55,11 +55,11 @@
   const lease = memory.hold('answers', 0);
   t.true(lease.grow(50 * MB));
   t.false(lease.grow(50 * MB));
-  t.is(memory.heldBytes(), 50 * MB);
+  t.is(memory.heldBytes('bodies'), 50 * MB);
   t.true(lease.resize(10 * MB));
   lease.release();
   t.false(lease.grow(1));
-  t.is(memory.heldBytes(), 0);
+  t.is(memory.heldBytes('bodies'), 0);
 });
 
 test('released bytes are lent again only once their memory is returned', (t) => {
@@ -81,3 +81,19 @@
   }
   t.true(Math.abs(memory.retryAfterMs() - 400) < 20);
 });
+
+test('what is known of batches leaves room for bodies, and is refused by its own limit', (t) => {
+  // Guards against metadata that lasts for minutes and keeps all other work out.
+  const { lines, metrics, memory } = newParts();
+  const known = memory.hold('metadata', 9 * MB);
+  t.truthy(memory.reserve('requests', 80 * MB));
+  t.false(memory.hold('metadata', 0).grow(2 * MB));
+  t.deepEqual(lines, ['memory.refused']);
+  t.is(metrics.readCounter('memory_refused_metadata'), 1);
+  known.add(3 * MB);
+  t.is(memory.heldBytes('metadata'), 12 * MB);
+  t.regex(metrics.text(), /memory_held_bytes_of_metadata 12000000/);
+  t.regex(metrics.text(), /memory_limit_bytes_of_metadata 10000000/);
+  known.release();
+  t.is(memory.heldBytes('metadata'), 0);
+});
--- a/packages/fakes/src/newTestMemory.ts
+++ b/packages/fakes/src/newTestMemory.ts
@@ -5,13 +5,13 @@
 
 const DEFAULT_LIMIT_BYTES = 64_000_000;
 
-/** A memory budget that logs nothing. */
+/** A memory budget that logs nothing; all its pools have the same limit. */
 const newTestMemory = (limitBytes = DEFAULT_LIMIT_BYTES): MemoryBudget =>
   newMemoryBudget({
     clock: newSystemClock(),
     log: { info: () => {}, warn: () => {}, error: () => {} },
     metrics: newMetrics(),
-    limitBytes,
+    limits: { bodies: limitBytes, metadata: limitBytes, texts: limitBytes },
     collect: () => {},
   });
 
--- a/packages/gateway/src/newEventSplitter.ts
+++ b/packages/gateway/src/newEventSplitter.ts
@@ -6,8 +6,8 @@
   bytes: Buffer;
   /** Id of the last of these events that has one; null if none has. */
   lastId: string | null;
-  /** Whether no partial event is pending. */
-  isBetweenEvents: boolean;
+  /** Size of the partial event that is pending; 0 between events. */
+  pendingBytes: number;
 }
 
 /** Splits a stream at event boundaries, so that only complete events are forwarded. */
@@ -24,7 +24,7 @@
     return {
       bytes,
       lastId: ids.at(-1)?.[1]?.trim() ?? null,
-      isBetweenEvents: pending.length === 0,
+      pendingBytes: pending.length,
     };
   };
 };
--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -40,7 +40,7 @@
   maxUpstreams: number;
   deadline: number;
   /** Counts the bodies of its answers; null if only their status and signature are of use. */
-  answerLease?: Pick<MemoryLease, 'grow'> | null;
+  answerLease?: Pick<MemoryLease, 'grow' | 'resize'> | null;
   /** Minimum delay before a hedged request is sent, in milliseconds. */
   minHedgeDelayMs?: number;
   /** Upstreams whose last places are left to others; chosen only if there are no others. */
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -30,6 +30,8 @@
 /** Bytes that a caller has yet to read before its upstream is read on. */
 const MAX_UNSENT_BYTES = 65_536;
 const UNSENT_POLL_MS = 20;
+/** A partial event is joined to each part that follows. */
+const COPIES_OF_EVENT = 2;
 
 export interface StreamRelayOptions {
   clock: Clock;
@@ -89,17 +91,23 @@
       onChunk: () => void,
     ): Promise<AttemptEnd> => {
       const split = newEventSplitter();
+      const lease = request.answerLease ?? unlimitedLease;
       for await (const chunk of answer.body) {
         onChunk();
         if (!response.headersSent) {
           response.writeHead(answer.status, answer.headers);
         }
-        const { bytes, lastId } = split(chunk);
+        const { bytes, lastId, pendingBytes } = split(chunk);
+        // An event that never ends would be collected until this host ends.
+        if (!lease.resize(COPIES_OF_EVENT * pendingBytes)) {
+          lastReason = 'no memory';
+          return 'broken';
+        }
         lastEventId = lastId ?? lastEventId;
         if (bytes.length > 0) response.write(bytes);
         await waitUntilSent(onChunk);
       }
-      return split(Buffer.alloc(0)).isBetweenEvents ? 'whole' : 'broken';
+      return split(Buffer.alloc(0)).pendingBytes === 0 ? 'whole' : 'broken';
     };
 
     /** @param idle aborts the run when the upstream is silent; null if nothing could resume it */
--- a/packages/gateway/tests/newPlainRelay.test.ts
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -277,6 +277,11 @@
       held += bytes;
       return true;
     },
+    resize: (bytes: number): boolean => {
+      if (bytes > limitBytes) return false;
+      held = bytes;
+      return true;
+    },
     held: () => held,
   };
 };
--- a/packages/gateway/tests/newStreamRelay.test.ts
+++ b/packages/gateway/tests/newStreamRelay.test.ts
@@ -4,6 +4,7 @@
 import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import type { ManualClock } from '@cyclamengate/fakes/newManualClock';
+import newTestMemory from '@cyclamengate/fakes/newTestMemory';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import type { RelayedRequest } from '../src/newPlainAttempt.js';
@@ -153,3 +154,32 @@
   t.true(result?.type === 'refusal' && !result.hasRun);
   t.true(result?.type === 'refusal' && result.refusal.retryAfterMs === 5_000);
 });
+
+test('an event that never ends is collected up to the memory of its answer only', async (t) => {
+  // Guards against an upstream that sends bytes without an end, which its host would collect.
+  const clock = newManualClock();
+  const memory = newTestMemory(1_000_000);
+  let parts = 0;
+  const endless: Behaviour = async (request, signal) => {
+    const outcome = await answering([])(request, signal);
+    if (outcome.type !== 'answer') return outcome;
+    async function* body(): AsyncGenerator<Buffer> {
+      yield Buffer.from(event(1));
+      await waitForDelivery();
+      for (; parts < 100; parts += 1) yield Buffer.alloc(50_000, 'x');
+    }
+    return { type: 'answer', answer: { ...outcome.answer, body: body() } };
+  };
+  const { received, outcomes } = await relayStream(
+    t,
+    clock,
+    { a: endless },
+    { isIdempotent: false, answerLease: memory.hold('answers', 0) },
+  );
+  const { text, isComplete } = await received;
+  t.is(text, event(1));
+  t.false(isComplete);
+  t.is(outcomes[0]?.type, 'refusal');
+  t.true(memory.heldBytes('bodies') <= 1_000_000);
+  t.true(parts < 20, 'read on beyond the limit');
+});
--- a/packages/gateway/tests/routes.test.ts
+++ b/packages/gateway/tests/routes.test.ts
@@ -99,11 +99,11 @@
   const first = split(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'));
   t.is(first.bytes.toString(), 'id: 1\ndata: a\n\n');
   t.is(first.lastId, '1');
-  t.false(first.isBetweenEvents);
+  t.true(first.pendingBytes > 0);
   const second = split(Buffer.from('ta: b\n\n'));
   t.is(second.bytes.toString(), 'id: 2\ndata: b\n\n');
   t.is(second.lastId, '2');
-  t.true(second.isBetweenEvents);
+  t.is(second.pendingBytes, 0);
 });
 
 test('the homes of a route and of a customer both bind', (t) => {
