One text that never ends keeps no other item from starting

By reading: a text that outgrew its room set what the next ones were expected to take; one event without an end took all of it, and that host would have started no item without text ever again, without a line.

Change: a text is expected to take a quarter of the limit at most, so that four fit. The unit test of endless events starts others after it: fails before.

--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -48,7 +48,7 @@
   clock: Clock;
   log: EventLog;
   metrics: Pick<Metrics, 'count'>;
-  memory: Pick<MemoryBudget, 'hold' | 'hasRoom'>;
+  memory: Pick<MemoryBudget, 'hold' | 'hasRoom' | 'limits'>;
   batches: Batches;
   client: UpstreamClient;
   newEventReader: () => EventReader;
--- a/packages/batches/src/newTextRoom.ts
+++ b/packages/batches/src/newTextRoom.ts
@@ -5,6 +5,8 @@
 /** What a text of some thousand tokens takes. */
 const INITIAL_TEXT_BYTES = 32_768;
 const MIN_TEXT_BYTES = 4_096;
+/** Part of the limit that a text is expected to take at most; an event that never ends takes all. */
+const MAX_TEXT_PART = 0.25;
 /** Weight of the newest text in what the next ones are expected to take. */
 const SIZE_WEIGHT = 0.2;
 
@@ -24,9 +26,14 @@
  * Many long texts at once would exceed the memory of their host. One that has no room in the middle
  * is dropped and generated again, so that the others end; taken beforehand, that hardly happens.
  */
-const newTextRoom = (memory: Pick<MemoryBudget, 'hasRoom'>) => {
+const newTextRoom = (memory: Pick<MemoryBudget, 'hasRoom' | 'limits'>) => {
+  const maxExpectedBytes = memory.limits.texts * MAX_TEXT_PART;
   let expectedBytes = INITIAL_TEXT_BYTES;
 
+  const expect = (bytes: number): void => {
+    expectedBytes = Math.round(Math.min(maxExpectedBytes, Math.max(MIN_TEXT_BYTES, bytes)));
+  };
+
   /** What has text already starts in any case: it ends, or makes room for the others. */
   const mayBegin = ({ progress }: Pick<ItemTask, 'progress'>): boolean =>
     progress.events.length > 0 || memory.hasRoom('texts', expectedBytes);
@@ -46,7 +53,7 @@
           used += heldTextBytes(bytes, 0);
           if (used <= held) return true;
           if (!textLease.resize(used)) {
-            expectedBytes = Math.max(expectedBytes, used);
+            expect(Math.max(expectedBytes, used));
             return false;
           }
           held = used;
@@ -55,9 +62,7 @@
         end: (isWhole) => {
           const size = countTextBytes(progress);
           textLease.resize(size);
-          if (!isWhole) return;
-          const change = SIZE_WEIGHT * (Math.max(MIN_TEXT_BYTES, size) - expectedBytes);
-          expectedBytes = Math.round(expectedBytes + change);
+          if (isWhole) expect(expectedBytes + SIZE_WEIGHT * (size - expectedBytes));
         },
       };
     },
--- a/packages/batches/tests/newTextRoom.test.ts
+++ b/packages/batches/tests/newTextRoom.test.ts
@@ -64,4 +64,7 @@
   t.true(chunks > 100 && memory.heldBytes('texts') <= LIMIT_BYTES);
   room.end(false);
   t.is(memory.heldBytes('texts'), 0);
+  // Guards against a host that expects all texts to be as long, and starts none any more.
+  const others = Array.from({ length: 3 }, () => textRoom.begin(newTask()));
+  t.true(others.every((other) => other !== null));
 });
