What tests of memory send is made before the small requests beside it start

In the hosts' lines: 'no answer in time' from the upstreams, which run in the test's process. That process stalled while it wrote the JSON of some hundred MB.

Change: the texts are made first, in three tests; the checks are the same.

--- a/apps/host/tests/heldValues.process.test.ts
+++ b/apps/host/tests/heldValues.process.test.ts
@@ -29,13 +29,23 @@
     })),
   });
 
+interface NamedBatch {
+  id: string;
+  text: string;
+}
+
+const newBatchesOf = (sender: string): NamedBatch[] =>
+  Array.from({ length: BATCHES_BY_SENDER }, (_, number) => {
+    const id = `${sender}${number}`;
+    return { id, text: newBatchText(id, MAX_ITEMS) };
+  });
+
 /** Submits batches one after the other, and ends each as the next one is accepted. */
-const submitMany = async (host: TestHost, sender: string): Promise<Answer[]> => {
+const submitMany = async (host: TestHost, batches: NamedBatch[]): Promise<Answer[]> => {
   const answers: Answer[] = [];
   let open: string | null = null;
-  for (let number = 0; number < BATCHES_BY_SENDER; number += 1) {
-    const id = `${sender}${number}`;
-    const answer = await submit(host, id, newBatchText(id, MAX_ITEMS));
+  for (const { id, text } of batches) {
+    const answer = await submit(host, id, text);
     answers.push(answer);
     if (open !== null) await send(host, 'DELETE', `/v1/lots/${open}`);
     open = answer.status === 202 ? id : null;
@@ -47,10 +57,13 @@
 test.serial('batches of very many small items are accepted, or refused for now', async (t) => {
   // Guards against what every host holds of all batches: at some 500,000 items a host ended.
   const { system, checkHosts } = await newMemorySystem(t);
+  // Made before: this process, which has the upstreams as well, stalls meanwhile.
+  const senders = system.hosts.map((host, index) => ({
+    host,
+    batches: newBatchesOf(`sender${index}-`),
+  }));
   const stopLookups = startLookups(system.hosts);
-  const answers = await Promise.all(
-    system.hosts.map((host, index) => submitMany(host, `sender${index}-`)),
-  );
+  const answers = await Promise.all(senders.map(({ host, batches }) => submitMany(host, batches)));
   const accepted = answers.flat().filter(({ status }) => status === 202);
   const refused = answers.flat().filter(isRefusedForNow);
   t.log(`${accepted.length} accepted, ${refused.length} refused`);
@@ -79,20 +92,21 @@
   // Guards against limits that hold one by one, and not for all that a host holds at once.
   const { platform, system, first, second, third, checkHosts } = await newMemorySystem(t);
   platform.engines.forEach(({ faults }) => Object.assign(faults, { paddingBytes: EVENT_BYTES }));
-  const stopLookups = startLookups([second, third]);
-  t.is((await submit(second, 'texts', newBatchText('texts', TEXTS))).status, 202);
+  // Made before: this process, which has the upstreams as well, stalls meanwhile.
   const body = 'p'.repeat(30_000_000);
-  const sendRequests = Promise.all(
-    Array.from({ length: 4 }, (_, index) =>
-      send(first, 'POST', `/lookup/large-${index}`, { id: `large-${index}`, body }),
-    ),
-  );
   const batches = [
     newLargeBatchText('bodies-0', 'body'),
     newLargeBatchText('headers', 'headers'),
     newLargeBatchText('bodies-1', 'body'),
     newBatchText('items', MAX_ITEMS),
   ];
+  const stopLookups = startLookups([second, third]);
+  t.is((await submit(second, 'texts', newBatchText('texts', TEXTS))).status, 202);
+  const sendRequests = Promise.all(
+    Array.from({ length: 4 }, (_, index) =>
+      send(first, 'POST', `/lookup/large-${index}`, { id: `large-${index}`, body }),
+    ),
+  );
   const submitted = Promise.all(
     batches.map((text, index) => submit(first, `at-once-${index}`, text)),
   );
--- a/apps/host/tests/largeBodies.process.test.ts
+++ b/apps/host/tests/largeBodies.process.test.ts
@@ -61,10 +61,13 @@
   // Guards against hosts that exceed their memory and are ended: a batch of 31 MB ended each host that
   // it reached, and was never accepted.
   const { platform, system, first, second, third, checkHosts } = await newMemorySystem(t);
-  const stopLookups = startLookups(system.hosts);
-  for (const [shape, sizes] of Object.entries(SHAPES)) {
+  // Made before: this process, which has the upstreams as well, stalls meanwhile.
+  const batches = Object.entries(SHAPES).map(([shape, sizes]) => {
     const name = shape.replaceAll(' ', '-');
-    const text = newBatchText(name, sizes);
+    return { name, shape, sizes, text: newBatchText(name, sizes) };
+  });
+  const stopLookups = startLookups(system.hosts);
+  for (const { name, shape, sizes, text } of batches) {
     t.true(text.length <= MAX_BODY_BYTES && text.length > 0.8 * MAX_BODY_BYTES);
     const startedAt = performance.now();
     t.is((await submit(first, name, text)).status, 202, shape);
