--- a/apps/host/tests/heldValues.process.test.ts
+++ b/apps/host/tests/heldValues.process.test.ts
@@ -1,7 +1,7 @@
-import { HOST_NAME, MODEL } from '@cyclamengate/app-platform-standin/newPlatform';
+import { MODEL } from '@cyclamengate/app-platform-standin/newPlatform';
 import { expectedEventCount } from '@cyclamengate/app-platform-standin/newEngineServer';
 import test from 'ava';
-import { submit } from './batchHelpers.js';
+import { batchBody, submit } from './batchHelpers.js';
 import type { ResultPage } from './batchHelpers.js';
 import { isRefusedForNow, newMemorySystem, startLookups } from './memoryHelpers.js';
 import { send, sleep } from './newHosts.js';
@@ -16,18 +16,7 @@
 const EVENT_BYTES = 500_000;
 
 const newBatchText = (name: string, items: number): string =>
-  JSON.stringify({
-    model: MODEL,
-    'min-version': 1,
-    entries: Array.from({ length: items }, (_, index) => ({
-      id: `${name}-${index}`,
-      path: `/rounds/${name}/${index}`,
-      headers: { Model: MODEL },
-      body: Buffer.from(`prompt ${index}`).toString('base64'),
-      group: `${name}-g${Math.floor(index / GROUP_SIZE)}`,
-      scorer: { id: `${name}-s${index}`, host: HOST_NAME, path: `/lookup/s/${index}`, body: '' },
-    })),
-  });
+  batchBody(name, items / GROUP_SIZE, GROUP_SIZE);
 
 interface NamedBatch {
   id: string;
--- a/packages/batches/src/newBatchIntake.ts
+++ b/packages/batches/src/newBatchIntake.ts
@@ -1,3 +1,4 @@
+import groupBy from '@cyclamengate/common/groupBy';
 import type { ItemFields, ItemHead, ItemRequest, TextPlace, TextRun } from './batchRecord.js';
 import newSegmentBuilder from './newSegmentBuilder.js';
 import type { BodyKind } from './newSegmentBuilder.js';
@@ -40,13 +41,10 @@
   });
 
   /** Parts of one segment are consecutive. */
-  const readHeld = (parts: { segment: number; part: Buffer }[]): ItemRequest[] => {
-    const bySegment = new Map<number, Buffer[]>();
-    parts.forEach(({ segment, part }) =>
-      bySegment.set(segment, [...(bySegment.get(segment) ?? []), part]),
+  const readHeld = (parts: { segment: number; part: Buffer }[]): ItemRequest[] =>
+    [...groupBy(parts, ({ segment }) => segment).values()].flatMap(
+      (list) => parseSegment(Buffer.concat(list.map(({ part }) => part))) ?? [],
     );
-    return [...bySegment.values()].flatMap((list) => parseSegment(Buffer.concat(list)) ?? []);
-  };
 
   return {
     addBody: (kind: BodyKind, bytes: Buffer): void => builder.addBody(kind, bytes),
--- a/packages/batches/src/newHandover.ts
+++ b/packages/batches/src/newHandover.ts
@@ -2,13 +2,11 @@
 import type { BatchState } from './newBatchState.js';
 import newPart from './newPart.js';
 import type { ItemTask } from './newTaskList.js';
+import { countCharacters } from './progress.js';
 
 /** Texts beyond this size are left to the parts that are written to the store. */
 const MAX_TEXT_CHARACTERS = 1_000_000;
 
-const countCharacters = ({ events }: Part): number =>
-  events.reduce((sum, event) => sum + event.length, 0);
-
 /** As many texts as may be handed over, the longest first: they take the longest to make again. */
 const takeTexts = (parts: Part[]): Part[] => {
   let characters = 0;
--- a/packages/batches/src/newPartialTexts.ts
+++ b/packages/batches/src/newPartialTexts.ts
@@ -1,5 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { Part } from './batchRecord.js';
+import { countCharacters } from './progress.js';
 import type { Progress } from './progress.js';
 
 /**
@@ -57,7 +58,7 @@
       const earlier = from > 0 ? (current?.progress.events ?? []) : [];
       const progress = { events: [...earlier, ...events], lastEventId, versions };
       const expiresAt = clock.now() + PARTIAL_TEXT_RETENTION_MS;
-      const size = progress.events.reduce((sum, event) => sum + event.length, 0);
+      const size = countCharacters(progress);
       remove(item);
       characters += size;
       texts.set(item, {
--- a/packages/batches/src/newTaskList.ts
+++ b/packages/batches/src/newTaskList.ts
@@ -5,7 +5,7 @@
 import type { ItemHead, ItemResult, TextPlace } from './batchRecord.js';
 import type { BatchState, EarlierText } from './newBatchState.js';
 import estimateRest from './estimateRest.js';
-import { countTextBytes, meetsMinVersion, newProgress } from './progress.js';
+import { countCharacters, countTextBytes, meetsMinVersion, newProgress } from './progress.js';
 import type { Progress } from './progress.js';
 
 /** Tokens in one stream event of the platform's usual engines. */
@@ -103,7 +103,7 @@
     if (progress.events.length === 0) return;
     forgetText(item.id);
     const isComplete = textCompletedAt !== null;
-    const characters = progress.events.reduce((sum, event) => sum + event.length, 0);
+    const characters = countCharacters(progress);
     retainedTexts.set(item.id, {
       text: { digest: item.digest, progress, isComplete, place },
       characters,
--- a/packages/batches/src/progress.ts
+++ b/packages/batches/src/progress.ts
@@ -16,6 +16,10 @@
   minVersion: number,
 ): boolean => versions.every((version) => version >= minVersion);
 
+/** Number of characters of a text. */
+export const countCharacters = ({ events }: Pick<Progress, 'events'>): number =>
+  events.reduce((sum, event) => sum + event.length, 0);
+
 /** An event beside its characters. */
 const EVENT_BYTES = 32;
 /** A text is held as events, as a part that is saved, in pieces, and as the whole that is written. */
