review: case 7 resets when streams of every age are open

The resets came as the last stream of a round began, just after the first one's last event. On a slow machine no stream had come to its last event by then, and the case held once. Now they come half a round later.

--- a/review/7/case.js
+++ b/review/7/case.js
@@ -85,7 +85,8 @@
       const streams = Array.from({ length: STREAMS }, (_, index) =>
         play(`r${round}s${index}`, (index * spanMs) / STREAMS),
       );
-      await sleep(spanMs);
+      // Later than the first stream's end, so that streams of every age are open, on a slow machine too.
+      await sleep(1.5 * spanMs);
       if (hasTrouble) record(`round ${round}: ${proxy.resetHalf()} channels were reset`);
       await Promise.all(streams);
     }
