A stream that ends within an event, or with its upstream, is not whole

Cause: an answer without a length ends with its connection, and the operating system closes those of a killed process like those of one that is done. runOnce took any regular end for the end of the text; its reader drops a partial event. A resumed run that closed before its first event, and half a plain body, counted as whole too. The stream relay alone looked at what was left.

Change: newAnswerGuard, below the crash guard and so below every reader (items, resumed runs, scoring, relayed streams and requests): a stream of events is whole only between two of them, and an answer without a length only if its upstream still listens after it. The splitter of the relay and the guard share one idea of where an event ends, with any kind of line end.

--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -4,6 +4,7 @@
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
+import newAnswerGuard from '@cyclamengate/engines/newAnswerGuard';
 import newColdGuard from '@cyclamengate/engines/newColdGuard';
 import newColdLimits from '@cyclamengate/engines/newColdLimits';
 import newCrashGuard from '@cyclamengate/engines/newCrashGuard';
@@ -74,9 +75,13 @@
     log,
     metrics,
     client: newColdGuard(
-      newHttpUpstreamClient(clock, connections, (part) =>
-        metrics.count(part === 'report' ? 'load_reports_invalid' : 'load_paces_invalid'),
-      ),
+      newAnswerGuard({
+        log,
+        metrics,
+        client: newHttpUpstreamClient(clock, connections, (part) =>
+          metrics.count(part === 'report' ? 'load_reports_invalid' : 'load_paces_invalid'),
+        ),
+      }),
       coldLimits,
     ),
     onEnded: coldLimits.suspectRestart,
--- a/apps/platform-standin/src/newEngineServer.ts
+++ b/apps/platform-standin/src/newEngineServer.ts
@@ -12,6 +12,11 @@
   isUnresponsive: boolean;
   /** Number of events after which each stream is reset; null for no limit. */
   resetAfterEvents: number | null;
+  /**
+   * Number of events after which each stream is closed in the middle of the next one; its answers have
+   * no length. Null for no limit.
+   */
+  closeAfterEvents: number | null;
   /** Factor by which the interval between events is multiplied. */
   slowdownFactor: number;
   /** Number of bytes by which the data of each event is longer. */
@@ -59,6 +64,7 @@
   const faults: EngineFaults = {
     isUnresponsive: false,
     resetAfterEvents: null,
+    closeAfterEvents: null,
     slowdownFactor: 1,
     paddingBytes: 0,
     hasWrongAttemptId: false,
@@ -124,6 +130,7 @@
       body: body.toString(),
       bytes: body,
     });
+    response.useChunkedEncodingByDefault = faults.closeAfterEvents === null;
     response.writeHead(200, {
       'content-type': 'text/event-stream',
       'attempt-id': faults.hasWrongAttemptId ? 'another' : requestId,
@@ -149,7 +156,12 @@
       const versionField = currentVersion === version ? '' : `weight-versions: ${currentVersion}\n`;
       version = currentVersion;
       const data = `${requestId}/${event}${'p'.repeat(faults.paddingBytes)}`;
-      response.write(`${versionField}id: ${event}\ndata: ${data}\n\n`);
+      const text = `${versionField}id: ${event}\ndata: ${data}\n\n`;
+      if (faults.closeAfterEvents !== null && event - lastEventId > faults.closeAfterEvents) {
+        response.end(text.slice(0, text.length / 2));
+        return;
+      }
+      response.write(text);
       if (faults.deadlyBody !== null && body.toString() === faults.deadlyBody) {
         crash();
         return;
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -87,10 +87,16 @@
     ): Promise<UpstreamOutcome> {
       observed.runs.push(request.requestId);
       observed.upstreams.push(id);
-      const head = { status: 200, headers: {}, signature: 's', load: null, isEventStream: true };
+      const head = { status: 200, headers: {}, signature: 's', load: null };
       return {
         type: 'answer',
-        answer: { ...head, version: state.engineVersion, body: body(request.lastEventId, signal) },
+        answer: {
+          ...head,
+          isEventStream: true,
+          hasLength: true,
+          version: state.engineVersion,
+          body: body(request.lastEventId, signal),
+        },
       };
     }
 
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -47,8 +47,11 @@
     async send(_entry: UpstreamEntry, request: UpstreamRequest): Promise<UpstreamOutcome> {
       sent.push(request);
       const body = readAll();
-      const head = { status, headers: {}, signature: 's', load: null, isEventStream: true };
-      return { type: 'answer', answer: { ...head, version, body } };
+      const head = { status, headers: {}, signature: 's', load: null };
+      return {
+        type: 'answer',
+        answer: { ...head, isEventStream: true, hasLength: true, version, body },
+      };
     }
 
     async hasEnded(): Promise<boolean> {
--- a/packages/engines/src/UpstreamClient.ts
+++ b/packages/engines/src/UpstreamClient.ts
@@ -35,6 +35,8 @@
   /** Version of the weights at the first token; null if the upstream reported none. */
   version: number | null;
   isEventStream: boolean;
+  /** Whether the answer says where its body ends; if not, the close of its connection ends it. */
+  hasLength: boolean;
   body: AsyncIterable<Buffer>;
 }
 
--- a/packages/engines/tests/newGuard.ts
+++ b/packages/engines/tests/newGuard.ts
@@ -34,6 +34,7 @@
     load: null,
     version: null,
     isEventStream: false,
+    hasLength: true,
     body: yieldBody('ok', isTruncated),
   },
 });
--- a/packages/gateway/src/newEventSplitter.ts
+++ b/packages/gateway/src/newEventSplitter.ts
@@ -1,4 +1,5 @@
-const EVENT_END = Buffer.from('\n\n');
+import findEventEnd from '@cyclamengate/engines/findEventEnd';
+
 const ID_LINE = /^id: ?(.*)$/gm;
 
 export interface CompleteEvents {
@@ -16,8 +17,7 @@
 
   return (chunk: Buffer): CompleteEvents => {
     pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-    const cut = pending.lastIndexOf(EVENT_END);
-    const end = cut === -1 ? 0 : cut + EVENT_END.length;
+    const end = findEventEnd(pending);
     const bytes = pending.subarray(0, end);
     pending = pending.subarray(end);
     const ids = [...bytes.toString('utf8').matchAll(ID_LINE)];
--- a/packages/gateway/tests/helpers.ts
+++ b/packages/gateway/tests/helpers.ts
@@ -48,6 +48,7 @@
       load: null,
       version,
       isEventStream: false,
+      hasLength: true,
       body: yieldChunks(texts, isTruncated),
     },
   });
