A slow reader holds its socket, not the client's parser

Callers saw: hosts that ended within a second. A plain service answered 40 MB without a length and closed, its caller read slowly.

Cause: undici's parser stands still for a slow reader, and asserts that it does not when the close of the connection ends the answer. The assertion fails in an event of the socket and ends the process.

Change: the socket is not read while a reader is slow; the parser never waits.

--- a/packages/upstreams/src/newConnections.ts
+++ b/packages/upstreams/src/newConnections.ts
@@ -1,5 +1,9 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
+import newSocketGate from './newSocketGate.js';
+import type { SocketGate } from './newSocketGate.js';
+import sendOn from './sendOn.js';
+import type { ConnectionAnswer, ConnectionRequest } from './sendOn.js';
 
 const CONNECT_TIMEOUT_MS = 800;
 /** Idle connections are closed after this unless the upstream sets less; steps come every 4 s. */
@@ -15,6 +19,8 @@
 /** A connection to an upstream; carries one request at a time. */
 export interface Connection {
   client: Client;
+  /** Rejects if no head of an answer comes, also when the connection is discarded meanwhile. */
+  send: (request: ConnectionRequest) => Promise<ConnectionAnswer>;
   isOpen: () => boolean;
   /** Whether the upstream closed it without a reset, which completes a response without a length. */
   isClosedByUpstream: () => boolean;
@@ -33,6 +39,7 @@
   let isClosedByUpstream = false;
   let isOpen = false;
   let openSocket: Socket | null = null;
+  let gate: SocketGate = { close: () => {}, open: () => {} };
   const client = new Client(`http://${host}:${port}`, {
     pipelining: 1,
     keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -50,6 +57,7 @@
         });
         isOpen = socket !== null;
         openSocket = socket;
+        if (socket) gate = newSocketGate(socket);
         callback(...result);
       });
     },
@@ -61,7 +69,13 @@
     if (openSocket && !openSocket.destroyed) openSocket.resetAndDestroy();
     client.destroy();
   };
-  return { client, isOpen: () => isOpen, isClosedByUpstream: () => isClosedByUpstream, discard };
+  return {
+    client,
+    send: (request) => sendOn(client, request, () => gate, discard),
+    isOpen: () => isOpen,
+    isClosedByUpstream: () => isClosedByUpstream,
+    discard,
+  };
 };
 
 /**
