--- a/packages/engines/src/newAnswerGuard.ts
+++ b/packages/engines/src/newAnswerGuard.ts
@@ -7,6 +7,8 @@
 import type { UpstreamAnswer, UpstreamOutcome, UpstreamRequest } from './UpstreamClient.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
+const FIRST_FAILURE_STATUS = 300;
+
 export interface AnswerGuardOptions {
   log: EventLog;
   metrics: Metrics;
@@ -14,7 +16,9 @@
 }
 
 /**
- * Decides for all requests alike, callers', items and scoring calls, whether an answer is whole.
+ * Decides for all requests alike, callers', items and scoring calls, whether an answer may go on.
+ *
+ * A success bears its upstream's signature, or it is none of its.
  *
  * A stream of events is whole only if it ends between two events. The operating system closes the
  * connections of a process that is killed like those of one that is done, so an answer without a
@@ -53,6 +57,11 @@
       const outcome = await super.send(entry, request, firstByteDeadline, signal);
       if (outcome.type === 'fault') return outcome;
       const { answer } = outcome;
+      if (answer.status < FIRST_FAILURE_STATUS && answer.signature === null) {
+        await answer.body[Symbol.asyncIterator]().return?.();
+        metrics.count('answers_unsigned');
+        return { type: 'fault', fault: { type: 'unknown', reason: 'unsigned answer' } };
+      }
       if (answer.hasLength && !answer.isEventStream) return outcome;
       return { type: 'answer', answer: { ...answer, body: readWhole(answer, entry, request) } };
     }
--- a/packages/engines/tests/newAnswerGuard.test.ts
+++ b/packages/engines/tests/newAnswerGuard.test.ts
@@ -107,3 +107,20 @@
   const plain = { isEventStream: false };
   t.like(await read(await sendThrough(['{}'], plain, true)), { text: '{}', isWhole: true });
 });
+
+test('a success without a signature is passed on to no one', async (t) => {
+  // Guards against bytes of no upstream that a caller takes for its answer, an item for its text, or a
+  // scoring call for its score.
+  t.is(
+    await read(await sendThrough(['{}'], { signature: null, isEventStream: false })),
+    'unsigned answer',
+  );
+  t.is(await read(await sendThrough([], { signature: null })), 'unsigned answer');
+  t.is(await read(await sendThrough([], { signature: null, status: 204 })), 'unsigned answer');
+  t.like(
+    await read(await sendThrough(['no'], { signature: null, status: 500, isEventStream: false })),
+    {
+      text: 'no',
+    },
+  );
+});
--- a/packages/gateway/src/newPlainAttempt.ts
+++ b/packages/gateway/src/newPlainAttempt.ts
@@ -114,10 +114,6 @@
         if (!signal.aborted) health.recordFailure(entry.id, reason);
         return { type: 'failed', reason, isSilent: false };
       }
-      if (answer.status < 300 && answer.signature === null) {
-        health.recordFailure(entry.id, 'unsigned answer');
-        return { type: 'failed', reason: 'unsigned answer', isSilent: false };
-      }
       health.recordSuccess(entry.id);
       // A refusal or an error takes less time than the work.
       if (answer.status < 300) {
