A stream without a further event bears its engine's head

Cause: the head was written with the first chunk of the body. Where nothing follows there is none, and the end made up a head. A part of an event was enough for a head, which stayed when another engine gave the event.

Change: the head goes out with the first whole event or at the end of a stream without one, from the engine that gave it.

--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -74,6 +74,8 @@
     /** Whether an upstream may have run the request. */
     let hasRun = false;
     let failure: StreamFailure | null = null;
+    /** The answer whose head the caller got. */
+    let headOf: UpstreamAnswer | null = null;
     let lastReason = 'no upstream';
     /** When the request may be sent again; null if it is not held. */
     let heldUntil: number | null = null;
@@ -92,11 +94,14 @@
     ): Promise<AttemptEnd> => {
       const split = newEventSplitter();
       const lease = request.answerLease ?? unlimitedLease;
+      /** A response goes on with the head of the upstream that gave its first event. */
+      const sendHead = (): void => {
+        if (response.headersSent) return;
+        response.writeHead(answer.status, answer.headers);
+        headOf = answer;
+      };
       for await (const chunk of answer.body) {
         onChunk();
-        if (!response.headersSent) {
-          response.writeHead(answer.status, answer.headers);
-        }
         const { bytes, lastId, pendingBytes } = split(chunk);
         // An event that never ends would be collected until this host ends.
         if (!lease.resize(COPIES_OF_EVENT * pendingBytes)) {
@@ -104,10 +109,16 @@
           return 'broken';
         }
         lastEventId = lastId ?? lastEventId;
-        if (bytes.length > 0) response.write(bytes);
+        if (bytes.length > 0) {
+          sendHead();
+          response.write(bytes);
+        }
         await waitUntilSent(onChunk);
       }
-      return split(Buffer.alloc(0)).pendingBytes === 0 ? 'whole' : 'broken';
+      if (split(Buffer.alloc(0)).pendingBytes > 0) return 'broken';
+      // A stream that is resumed after its last event has none that could bring its head.
+      sendHead();
+      return 'whole';
     };
 
     /** @param idle aborts the run when the upstream is silent; null if nothing could resume it */
@@ -182,13 +193,8 @@
       if (end === 'whole') {
         response.end();
         health.recordSuccess(next.entry.id);
-        const answer = {
-          status: 200,
-          headers: {},
-          signature: null,
-          body: Buffer.alloc(0),
-          rest: null,
-        };
+        const { status, headers, signature } = headOf as unknown as UpstreamAnswer;
+        const answer = { status, headers, signature, body: Buffer.alloc(0), rest: null };
         return answered(answer, next, tried.size);
       }
       hasRun = hasRun || end === 'broken' || end === 'failed';
--- a/packages/gateway/tests/newStreamRelay.test.ts
+++ b/packages/gateway/tests/newStreamRelay.test.ts
@@ -58,6 +58,7 @@
 
 interface Reception {
   status: number;
+  signature: string | undefined;
   text: string;
   isComplete: boolean;
 }
@@ -70,7 +71,8 @@
     // A destroyed connection; `complete` tells.
   }
   const text = Buffer.concat(chunks).toString();
-  return { status: response.statusCode ?? 0, text, isComplete: response.complete };
+  const signature = response.headers['server-stamp']?.toString();
+  return { status: response.statusCode ?? 0, signature, text, isComplete: response.complete };
 };
 
 /** Relays one stream from upstreams with the given behaviours to a caller over HTTP. */
@@ -183,3 +185,41 @@
   t.true(memory.heldBytes('bodies') <= 1_000_000);
   t.true(parts < 20, 'read on beyond the limit');
 });
+
+/** As another behaviour, with a signature of its upstream in its head. */
+const signing =
+  (signature: string, behave: Behaviour): Behaviour =>
+  async (request, signal) => {
+    const outcome = await behave(request, signal);
+    if (outcome.type !== 'answer') return outcome;
+    const headers = { 'server-stamp': signature };
+    return { type: 'answer', answer: { ...outcome.answer, headers, signature } };
+  };
+
+test("a stream that is resumed after its last event bears its upstream's head", async (t) => {
+  // Guards against a success of no upstream: its caller has every event, but can't know that the stream
+  // was whole, and gets an answer that doesn't count.
+  const clock = newManualClock();
+  const behaviours = { a: signing('a', sending(2)) };
+  const { received, outcomes } = await relayStream(t, clock, behaviours, { lastEventId: '2' });
+  t.deepEqual(await received, { status: 200, signature: 'a', text: '', isComplete: true });
+  t.like(outcomes[0], { type: 'answer', answer: { signature: 'a' } });
+});
+
+test('a stream bears the head of the upstream that gave its first event', async (t) => {
+  // Guards against a head of an upstream that gave nothing, before events of another one.
+  const clock = newManualClock();
+  const cut = sending(0, { breaksOff: true, extra: 'id: 1\nda' });
+  const asked: string[] = [];
+  const cuttingFirst = (id: string): Behaviour =>
+    signing(id, (request, signal) => {
+      asked.push(id);
+      return (asked.length === 1 ? cut : sending(2))(request, signal);
+    });
+  const upstreams = { a: cuttingFirst('a'), b: cuttingFirst('b') };
+  const { received } = await relayStream(t, clock, upstreams);
+  const { signature, text, isComplete } = await received;
+  t.is(signature, asked[1]);
+  t.is(text, event(1) + event(2));
+  t.true(isComplete);
+});
