A stopping host takes only what it can finish

Cause: while one long request kept the host, it took whatever kept channels brought until its end, and closed idle channels only then.

Change: newDeparture decides by each way in (requests and streams, batches, reads, ends, records for peers): all in the first 2.8 s, then what is over by its deadline before the process ends; the rest is refused at once as not run. Idle channels are closed after 3 s and from then on. Refusals are sent by one function, which lets a sender finish on a connection that closes.

--- a/apps/host/src/newBatchAcceptance.ts
+++ b/apps/host/src/newBatchAcceptance.ts
@@ -20,7 +20,9 @@
 import { notRun, rejected, uncertain } from '@cyclamengate/gateway/refusal';
 import type { Refusal } from '@cyclamengate/gateway/refusal';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
+import leavingRefusal from './leavingRefusal.js';
 import type { BatchStore } from './newBatchStore.js';
+import type { Departure } from './newDeparture.js';
 import receiveBatch from './receiveBatch.js';
 import type { ReceivedBatch, ReceiveFault } from './receiveBatch.js';
 
@@ -53,6 +55,7 @@
   store: BatchStore;
   /** Writes a record to the store, through other hosts if this one can't reach it. */
   storeRecord: BatchWriter['write'];
+  canFinish: Departure['canFinish'];
   /** Whether any upstream of a service in some regions takes requests. */
   hasUpstream: (service: string, homes: Homes) => boolean;
   refuse: (response: ServerResponse, request: CallerRequest, id: string, refusal: Refusal) => void;
@@ -60,7 +63,7 @@
 
 /** Accepts new batches: receives one within the host's memory, and writes it to the store. */
 const newBatchAcceptance = (options: BatchAcceptanceOptions) => {
-  const { clock, log, memory, store, storeRecord, hasUpstream, refuse } = options;
+  const { clock, log, memory, store, storeRecord, canFinish, hasUpstream, refuse } = options;
   const { batches } = store;
 
   /** Time until the next batch is forgotten, which makes room for others. */
@@ -126,6 +129,7 @@
       return refusalOf(received.val);
     }
     const receivedAt = clock.now();
+    if (!canFinish(receivedAt + ACCEPT_TIMEOUT_MS)) return leavingRefusal;
     const outcome = await storeReceived(fields, received.val, receivedAt + ACCEPT_TIMEOUT_MS);
     const { submitted, requests } = received.val;
     log.info('batch.accepted', {
@@ -174,6 +178,10 @@
       answer(null);
       return;
     }
+    if (!canFinish(clock.now() + ACCEPT_TIMEOUT_MS)) {
+      answer(leavingRefusal);
+      return;
+    }
     if ((announcedBytes(incoming) ?? 0) > maxBodyBytes) {
       answer(rejected(413, 'too-large'));
       return;
--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -1,6 +1,5 @@
 import type { ServerResponse } from 'node:http';
 import { formatResults } from '@cyclamengate/adapter/batchCalls';
-import { refusalHeaders } from '@cyclamengate/adapter/callerRequest';
 import type { CallerRequest } from '@cyclamengate/adapter/callerRequest';
 import type { LoadedRequest } from '@cyclamengate/batches/newRequestReader';
 import type { BatchState } from '@cyclamengate/batches/newBatchState';
@@ -10,8 +9,10 @@
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import { notRun, rejected, uncertain } from '@cyclamengate/gateway/refusal';
 import type { Refusal } from '@cyclamengate/gateway/refusal';
+import leavingRefusal from './leavingRefusal.js';
 import newBatchAcceptance, { STORE_RETRY_MS } from './newBatchAcceptance.js';
 import type { BatchAcceptanceOptions } from './newBatchAcceptance.js';
+import sendRefusal from './sendRefusal.js';
 
 /** A batch end is normally written within a few milliseconds, by this host or a peer. */
 const END_TIMEOUT_MS = 1_000;
@@ -19,6 +20,8 @@
 const CATCH_UP_TIMEOUT_MS = 700;
 /** A view older than this may lack results that another host has already returned. */
 const MAX_VIEW_AGE_MS = 700;
+/** By when a call is answered, beside the time that its caller wants it to wait. */
+const MAX_CALL_MS = 2_000;
 /** Texts of a page as records, joined, as the text of the answer, and as its bytes. */
 const COPIES_OF_PAGE = 4;
 
@@ -28,7 +31,7 @@
 
 /** Handlers of the batch calls. They answer from the store's records, so all hosts answer alike. */
 const newBatchHandlers = (options: BatchHandlerOptions) => {
-  const { clock, log, memory, store, storeRecord, readSettings } = options;
+  const { clock, log, memory, store, storeRecord, readSettings, canFinish } = options;
   const { batches } = store;
   const pages = newResultPages({ clock, readTexts: store.texts.read });
 
@@ -40,8 +43,7 @@
   ): void => {
     const { requestId, method } = request;
     log.info('batch.refused', { batch: id, requestId, method, ...refusal });
-    const headers = refusalHeaders(requestId, refusal);
-    sendJson(response, refusal.status, { error: refusal.code }, headers);
+    sendRefusal(response, requestId, refusal);
   };
 
   /** Gives memory back once an answer is sent, or its caller has gone. */
@@ -52,6 +54,7 @@
 
   /** Finds a batch of the caller. It is reported missing only if the view is up to date. */
   const findBatch = async (request: CallerRequest, id: string): Promise<BatchState | Refusal> => {
+    if (!canFinish(clock.now() + request.waitMs + MAX_CALL_MS)) return leavingRefusal;
     const effective = readSettings();
     if (!effective) return notRun('no-settings', STORE_RETRY_MS);
     const caller = findCaller(effective, null, request.key);
--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -1,16 +1,14 @@
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import { parseCallerRequest, refusalHeaders } from '@cyclamengate/adapter/callerRequest';
+import { parseCallerRequest } from '@cyclamengate/adapter/callerRequest';
 import type { CallerRequest } from '@cyclamengate/adapter/callerRequest';
 import type Clock from '@cyclamengate/common/Clock';
 import type { HandlerRequest } from '@cyclamengate/common/handler';
-import { sendJson } from '@cyclamengate/common/handler';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
 import { announcedBytes, readBody } from '@cyclamengate/common/readBody';
 import type { BodyFault } from '@cyclamengate/common/readBody';
-import sendJsonAndClose from '@cyclamengate/common/sendJsonAndClose';
 import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import roundPace from '@cyclamengate/engines/roundPace';
 import { findCaller, findRoute, pickService } from '@cyclamengate/gateway/findRoute';
@@ -26,6 +24,9 @@
 import { findCallerClass } from '@cyclamengate/gateway/workClasses';
 import type { UsageMeter } from '@cyclamengate/hosts/newUsageMeter';
 import type { BatchHandlers } from './newBatchHandlers.js';
+import leavingRefusal from './leavingRefusal.js';
+import type { Departure } from './newDeparture.js';
+import sendRefusal from './sendRefusal.js';
 
 /** A starting host has its settings within a second unless the store is unreachable. */
 const NO_SETTINGS_RETRY_MS = 500;
@@ -41,19 +42,17 @@
   relayStream: StreamRelay;
   batches: BatchHandlers;
   readSettings: () => EffectiveSettings | null;
-  isLeaving: () => boolean;
+  departure: Pick<Departure, 'isLeaving' | 'canFinish'>;
 }
 
 /** Serves callers: resolves route and customer, then relays the request or accepts the batch. */
 const newCallerHandler = (options: CallerHandlerOptions) => {
-  const { clock, log, memory, metrics, meter, relay, relayStream, batches, readSettings } = options;
+  const { clock, log, memory, metrics, meter, relay, relayStream, batches } = options;
+  const { readSettings, departure } = options;
 
   const refuse = (response: ServerResponse, request: CallerRequest, refusal: Refusal): void => {
     metrics.count(`requests_refused_${refusal.code.replaceAll('-', '_')}`);
-    const headers = refusalHeaders(request.requestId, refusal);
-    // While draining, the connection is closed after the refusal, even if the body is incomplete.
-    const send = options.isLeaving() && !response.req.complete ? sendJsonAndClose : sendJson;
-    send(response, refusal.status, { error: refusal.code }, headers);
+    sendRefusal(response, request.requestId, refusal);
   };
 
   const refusalOf = (fault: BodyFault): Refusal => {
@@ -140,7 +139,7 @@
     effective: EffectiveSettings,
     route: Route,
     customer: string | null,
-    payload: Pick<RelayedRequest, 'body' | 'answerLease'>,
+    payload: Pick<RelayedRequest, 'body' | 'answerLease' | 'deadline'>,
     arrivedAt: number,
   ): Promise<void> => {
     const service = pickService(route, Math.random());
@@ -162,7 +161,6 @@
       homes: findHomes(effective, route, customer),
       isIdempotent: route.isStream ? route.isResumable : route.kind === 'idempotent',
       maxUpstreams: route.maxUpstreams,
-      deadline: computeDeadline(route, request, arrivedAt),
     };
     const customerPriority = effective.customersByName.get(customer ?? '')?.priority ?? null;
     const controller = newCallerAbortController(response);
@@ -204,6 +202,11 @@
     const { req: request } = response;
     const { maxBodyBytes } = effective.settings.limits;
     const announced = announcedBytes(request) ?? 0;
+    const deadline = computeDeadline(route, caller, arrivedAt);
+    if (!departure.canFinish(deadline)) {
+      reject(leavingRefusal);
+      return;
+    }
     if (announced > maxBodyBytes) {
       reject(rejected(413, 'too-large'));
       return;
@@ -219,16 +222,18 @@
       answerLease.release();
     });
     const body = await readBody(request, maxBodyBytes, BODY_TIMEOUT_MS, lease);
-    if (body.ok) {
-      const payload = { body: body.val, answerLease };
+    if (!body.ok) reject(refusalOf(body.val));
+    // A body may take seconds to arrive.
+    else if (!departure.canFinish(deadline)) reject(leavingRefusal);
+    else {
+      const payload = { body: body.val, answerLease, deadline };
       await relayRequest(caller, response, effective, route, customer, payload, arrivedAt);
-    } else reject(refusalOf(body.val));
+    }
   };
 
   const serve = async (request: HandlerRequest, response: ServerResponse): Promise<void> => {
     const arrivedAt = clock.now();
     const caller = parseCallerRequest(request);
-    if (options.isLeaving()) response.setHeader('connection', 'close');
     const effective = readSettings();
     const route = effective && findRoute(effective, caller.hostName, caller.path);
     const identity = effective && route ? findCaller(effective, route, caller.key) : null;
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -36,6 +36,7 @@
 import newCallerHandler from './newCallerHandler.js';
 import newCoordination from './newCoordination.js';
 import newCrashSharing from './newCrashSharing.js';
+import newDeparture from './newDeparture.js';
 import newDrain from './newDrain.js';
 import newDuties from './newDuties.js';
 import newPeerService from './newPeerService.js';
@@ -69,7 +70,8 @@
     log.error('process.broken', { task, error: (error as Error).stack });
     throw error;
   });
-  let isLeaving = false;
+  const departure = newDeparture(clock, terms.shutdownSeconds * MS_PER_SECOND);
+  const { isLeaving } = departure;
 
   const settingsView = newSettingsView(log);
   const meter = newUsageMeter({
@@ -92,7 +94,7 @@
     leaseMs: terms.leaseMs,
     meter,
     readRunningCounts: loads.countAllLocal,
-    isLeaving: () => isLeaving,
+    isLeaving,
   });
   loads.setRemoteLoads(coordination.runningElsewhere);
   const upstreams = newUpstreamAccess({
@@ -130,7 +132,7 @@
     clock,
     batchStore,
     coordination,
-    isLeaving: () => isLeaving,
+    departure,
     crashHistory,
     findNewerSettings: settingsView.findNewerSource,
     listEvacuations: evacuations.all,
@@ -203,7 +205,7 @@
       readSettings: settingsView.read,
     }),
     readSettings: settingsView.read,
-    isOwner: (subject, homes) => !isLeaving && coordination.owns(`batches/${subject}`, homes),
+    isOwner: (subject, homes) => !isLeaving() && coordination.owns(`batches/${subject}`, homes),
     homesOf,
     mayWork: ({ isLogged }) => {
       const { freshAt, isUnreachable } = batchStore;
@@ -217,7 +219,7 @@
     isListed: (id) => directory.find(id) !== undefined,
     newestVersion: (model) => platform.newestVersion(model).version,
     incarnation,
-    isLeaving: () => isLeaving,
+    isLeaving,
     freshAt: batchStore.freshAt,
     isLive: (otherIncarnation) =>
       coordination.members.live().some((member) => member.incarnation === otherIncarnation),
@@ -269,6 +271,7 @@
     storeRecord: batchWriter.write,
     readSettings: settingsView.read,
     hasUpstream: upstreams.hasUpstream,
+    canFinish: departure.canFinish,
   });
   const callers = newCallerHandler({
     clock,
@@ -280,7 +283,7 @@
     relayStream: upstreams.relayStream,
     batches: batchHandlers,
     readSettings: settingsView.read,
-    isLeaving: () => isLeaving,
+    departure,
   });
 
   const servers = newServers({
@@ -291,7 +294,8 @@
     batches: batchHandlers,
     readSettings: settingsView.read,
     peerServer: newPeerServer(peerService, memory),
-    isReady: () => settingsView.read() !== null && !isLeaving,
+    isReady: () => settingsView.read() !== null && !isLeaving(),
+    isLeaving,
     describeServices: upstreams.describeServices,
   });
 
@@ -331,14 +335,14 @@
   const drain = newDrain({
     clock,
     log,
-    shutdownMs: terms.shutdownSeconds * MS_PER_SECOND,
+    departure,
     openRequests: servers.openRequestCount,
     runningItems: runner.running,
     leave: async () => {
-      isLeaving = true;
       await runner.handOver('stopped');
       await Promise.all([duties.releaseLeases(), coordination.writeHeartbeat()]);
     },
+    closeIdle: servers.closeIdle,
     close: servers.close,
   });
 
--- a/apps/host/src/newPeerService.ts
+++ b/apps/host/src/newPeerService.ts
@@ -4,6 +4,7 @@
 import type { CrashHistory } from '@cyclamengate/engines/newCrashHistory';
 import type { BatchStore } from './newBatchStore.js';
 import type { Coordination } from './newCoordination.js';
+import type { Departure } from './newDeparture.js';
 
 /** A host that reaches the store writes a peer's heartbeat within a few milliseconds. */
 const ANNOUNCE_TIMEOUT_MS = 500;
@@ -12,7 +13,7 @@
   clock: Clock;
   batchStore: BatchStore;
   coordination: Coordination;
-  isLeaving: () => boolean;
+  departure: Pick<Departure, 'isLeaving' | 'canFinish'>;
   crashHistory: CrashHistory;
   findNewerSettings: PeerService['findNewerSettings'];
   listEvacuations: PeerService['listEvacuations'];
@@ -20,10 +21,14 @@
 
 /** The procedures that this host provides to its peers. */
 const newPeerService = (options: PeerServiceOptions): PeerService => {
-  const { clock, batchStore, coordination, isLeaving, crashHistory } = options;
+  const { clock, batchStore, coordination, departure, crashHistory } = options;
+  const { isLeaving, canFinish } = departure;
 
   return {
-    keep: (record, withinMs) => batchStore.write(record, clock.now() + withinMs),
+    keep: async (record, withinMs) => {
+      const deadline = clock.now() + withinMs;
+      return canFinish(deadline) ? batchStore.write(record, deadline) : 'not-written';
+    },
     begin: (batch) => {
       // A host without room for a batch takes it as little as one that leaves.
       if (isLeaving() || !batchStore.hold(batch)) return 'leaving';
--- a/apps/host/src/newServers.ts
+++ b/apps/host/src/newServers.ts
@@ -27,6 +27,7 @@
   batches: BatchHandlers;
   readSettings: () => EffectiveSettings | null;
   isReady: () => boolean;
+  isLeaving: () => boolean;
   /** What this host knows of each service, for operators. */
   describeServices: () => ServiceReport[];
   /** Serves the peer procedures. */
@@ -101,6 +102,7 @@
       openRequests -= 1;
     });
     applyLimits(callerServer);
+    if (options.isLeaving()) response.setHeader('connection', 'close');
     app.handler(request as never, response);
   });
 
@@ -127,6 +129,7 @@
       await listenOn(metricsServer, metricsAddress);
     },
     openRequestCount: (): number => openRequests,
+    closeIdle: (): void => callerServer.closeIdleConnections(),
     close: (): void => {
       [callerServer, readinessServer, peerServer, metricsServer].forEach((server) => {
         server.close();
--- a/apps/host/tests/hostTermination.process.test.ts
+++ b/apps/host/tests/hostTermination.process.test.ts
@@ -1,7 +1,9 @@
+import { once } from 'node:events';
+import { CUSTOMER_KEY, HOST_NAME } from '@cyclamengate/app-platform-standin/newPlatform';
 import newRawSender from '@cyclamengate/fakes/newRawSender';
 import test from 'ava';
 import { batchBody, readAllResults, submit, expectedTextOf } from './batchHelpers.js';
-import { isReady, send, waitUntil } from './newHosts.js';
+import { isReady, send, sleep, waitUntil } from './newHosts.js';
 import { findRunner, newSystem } from './testSystem.js';
 
 const LARGE_BODY_BYTES = 4_000_000;
@@ -87,3 +89,50 @@
   t.regex(answer, /connection: close/i);
   await ended;
 });
+
+const SLOW_LOOKUP_MS = 400;
+const SEND_INTERVAL_MS = 40;
+
+test.serial(
+  'a busy stopping host loses no request that it takes in its last seconds',
+  async (t) => {
+    // Guards against requests that a stopping host passes on and cuts off as its process ends, since one
+    // long request keeps it until then.
+    const { platform, first, close } = await newSystem(1);
+    t.teardown(close);
+    platform.plain.forEach(({ faults }) => {
+      faults.responseDelayMs = SLOW_LOOKUP_MS;
+    });
+    const [address = '', port] = first.callers.split(':');
+    const newSender = () => newRawSender(address, Number(port));
+    const [long, kept] = [await newSender(), await newSender()];
+    const head = `POST /lookup/7 HTTP/1.1\r\nhost: ${HOST_NAME}\r\nx-api-key: ${CUSTOMER_KEY}\r\n`;
+    long.socket.write(`${head}content-length: 9\r\n\r\n`);
+    kept.socket.write('POST /lookup/7 HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\nx');
+    await waitUntil(() => kept.takeText() !== '');
+    const ended = first.end('SIGTERM');
+    await once(kept.socket, 'end');
+    kept.socket.destroy();
+    t.is(first.child.exitCode, null);
+    const sends: Promise<{ id: string; status: number | string }>[] = [];
+    while (first.child.exitCode === null) {
+      const id = `late-${sends.length}`;
+      sends.push(
+        send(first, 'POST', '/lookup/7', { id, body: 'x' }).then(
+          ({ status }) => ({ id, status }),
+          ({ code }: { code: string }) => ({ id, status: code }),
+        ),
+      );
+      await sleep(SEND_INTERVAL_MS);
+    }
+    await ended;
+    const outcomes = await Promise.all(sends);
+    const hasRun = (id: string): boolean =>
+      platform.plain.some(({ runs }) => runs.some(({ requestId }) => requestId === id));
+    t.deepEqual(
+      outcomes.filter(({ id, status }) => hasRun(id) !== (status === 200)),
+      [],
+    );
+    t.true(outcomes.some(({ status }) => status === 503));
+  },
+);
--- a/apps/host/tests/newDrain.test.ts
+++ b/apps/host/tests/newDrain.test.ts
@@ -1,5 +1,6 @@
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import test from 'ava';
+import newDeparture from '../src/newDeparture.js';
 import newDrain from '../src/newDrain.js';
 
 const SHUTDOWN_MS = 8_000;
@@ -7,15 +8,21 @@
 
 const newTestDrain = (leave: () => Promise<void>, openRequests = () => 0) => {
   const clock = newManualClock();
-  const state = { closedAt: null as number | null, endedAt: null as number | null };
+  const state = {
+    idleClosedAt: [] as number[],
+    closedAt: null as number | null,
+    endedAt: null as number | null,
+  };
   const startedAt = clock.now();
+  const departure = newDeparture(clock, SHUTDOWN_MS);
   const drain = newDrain({
     clock,
     log,
-    shutdownMs: SHUTDOWN_MS,
+    departure,
     openRequests,
     runningItems: () => 0,
     leave,
+    closeIdle: () => state.idleClosedAt.push(clock.now() - startedAt),
     close: () => {
       state.closedAt = clock.now() - startedAt;
     },
@@ -23,7 +30,7 @@
   drain().then(() => {
     state.endedAt = clock.now() - startedAt;
   });
-  return { clock, state };
+  return { clock, departure, state };
 };
 
 test('a host whose peers do not answer its handover ends before it is killed', async (t) => {
@@ -53,3 +60,42 @@
   await clock.advance(500);
   t.true(state.endedAt !== null);
 });
+
+test('after its first seconds a stopping host takes only what is over before its end', async (t) => {
+  // Guards against requests of kept connections that are taken just before the process ends, and lost.
+  const { clock, departure } = newTestDrain(
+    async () => {},
+    () => 1,
+  );
+  const lookupMs = 1_500;
+  const canFinish = async (at: number, tookMs: number): Promise<boolean> => {
+    await clock.advance(at - (clock.now() - startedAt));
+    return departure.canFinish(clock.now() + tookMs);
+  };
+  const startedAt = clock.now();
+  t.true(await canFinish(2_500, 60_000));
+  t.false(await canFinish(3_000, 60_000));
+  t.true(await canFinish(5_700, lookupMs));
+  t.false(await canFinish(6_000, lookupMs));
+  t.true(await canFinish(6_500, 500));
+  t.false(await canFinish(7_250, 100));
+});
+
+test('idle connections are closed once the load balancer opens no more, and from then on', async (t) => {
+  // Guards against a connection that brings a request after seconds, to a host that is about to end.
+  const { clock, state } = newTestDrain(
+    async () => {},
+    () => 1,
+  );
+  await clock.advance(SHUTDOWN_MS);
+  t.true((state.idleClosedAt[0] ?? Infinity) <= 3_000);
+  t.true(state.idleClosedAt.some((at) => at > 7_000));
+});
+
+test('a host with nothing open takes no more before it closes', async (t) => {
+  // Guards against a request that arrives between the last look at open requests and the exit.
+  const { clock, departure, state } = newTestDrain(async () => {});
+  await clock.advance(3_100);
+  t.not(state.closedAt, null);
+  t.false(departure.canFinish(clock.now() + 1));
+});
--- a/apps/platform-standin/src/newPlainServer.ts
+++ b/apps/platform-standin/src/newPlainServer.ts
@@ -10,6 +10,8 @@
   faults: {
     isUnresponsive: boolean;
     isOverloaded: boolean;
+    /** Milliseconds that a request takes. */
+    responseDelayMs: number;
     /** Number of next answers that have no length and are broken off in the middle by a reset. */
     brokenAnswers: number;
     /** A request with this body crashes the server. */
@@ -33,6 +35,7 @@
   const faults: PlainServer['faults'] = {
     isUnresponsive: false,
     isOverloaded: false,
+    responseDelayMs: RESPONSE_DELAY_MS,
     brokenAnswers: 0,
     deadlyBody: null,
     deadlyPath: null,
@@ -69,7 +72,7 @@
       }
       response.writeHead(200, { ...answerHeaders, 'content-length': String(body.length) });
       response.end(body);
-    }, RESPONSE_DELAY_MS);
+    }, faults.responseDelayMs);
   });
   return { ...loopback, id, faults, runs };
 };
