An item is placed again whatever ended under it

Callers saw (reported from a system like ours, shown here by a test): an item under which several engines had crashed was not run again in calm.

Cause: the crash history holds what ends upstreams for up to a quarter of an hour, and lets one run be tried after each hold, whoever sent it. An item is never deadly by itself and is owed. Items of a group share a digest and waited for each other; a path and the last upstream held them as well.

Change: requests and crashes say what they are part of. An item is held for 4 s after its last crash at most, its group follows within a second, and neither its path nor the last upstream keeps it. Scoring calls wait 5 s at most. Callers' requests are held as before.

--- a/apps/host/tests/deadlyRequest.process.test.ts
+++ b/apps/host/tests/deadlyRequest.process.test.ts
@@ -174,3 +174,29 @@
     t.true(endedCount <= MAX_ENDED + MAX_RETRIES, `${endedCount} upstreams ended`);
   },
 );
+
+/** Crashes of one item's engines after which it was held for 25 s and more. */
+const UNLUCKY_CRASHES = 4;
+/** Time of calm within which the item has to be done: its longest hold and its run. */
+const CALM_MS = 7_000;
+
+test.serial('an item under which engines ended is run once they end no more', async (t) => {
+  // Guards against a sound item that is never placed again after a burst of crashes.
+  const { platform, first, second, close } = await newSystem();
+  t.teardown(close);
+  const setDeadly = (deadlyBody: string | null): void =>
+    platform.engines.forEach(({ faults }) => Object.assign(faults, { deadlyBody }));
+  setDeadly(DEADLY_BODY);
+  t.is((await submit(first, 'b1', batchBody('b1', 1, 4))).status, 202);
+  const endedCount = (): number =>
+    platform.engines.reduce((sum, { crashCount }) => sum + crashCount(), 0);
+  await waitUntil(() => endedCount() >= UNLUCKY_CRASHES);
+  setDeadly(null);
+  const calmAt = Date.now();
+  await waitUntil(async () => {
+    const page = await readPage(second, 'b1').catch(() => null);
+    return page?.results.length === 4 || Date.now() > calmAt + CALM_MS;
+  });
+  const page = await readPage(second, 'b1');
+  t.is(page?.results.length, 4);
+});
--- a/apps/host/tests/newCrashSharing.test.ts
+++ b/apps/host/tests/newCrashSharing.test.ts
@@ -51,7 +51,13 @@
 };
 
 const addCrash = (clock: ManualClock, { history }: { history: CrashHistory }, upstream: string) =>
-  history.add({ digest: 'deadly', upstream, endedAt: clock.wallTime(), weight: 1 });
+  history.add({
+    digest: 'deadly',
+    upstream,
+    endedAt: clock.wallTime(),
+    weight: 1,
+    work: 'call' as const,
+  });
 
 /** Reads of the memory store wait in real time. */
 const waitFor = async (clock: ManualClock, isMet: () => boolean): Promise<void> => {
--- a/apps/host/tests/newDrain.test.ts
+++ b/apps/host/tests/newDrain.test.ts
@@ -68,11 +68,11 @@
     () => 1,
   );
   const lookupMs = 1_500;
+  const startedAt = clock.now();
   const canFinish = async (at: number, tookMs: number): Promise<boolean> => {
     await clock.advance(at - (clock.now() - startedAt));
     return departure.canFinish(clock.now() + tookMs);
   };
-  const startedAt = clock.now();
   t.true(await canFinish(2_500, 60_000));
   t.false(await canFinish(3_000, 60_000));
   t.true(await canFinish(5_700, lookupMs));
--- a/packages/batches/src/newItemRequest.ts
+++ b/packages/batches/src/newItemRequest.ts
@@ -16,6 +16,7 @@
   const age = clock.wallTime() - batch.acceptedAt;
   return {
     requestId: item.id,
+    work: 'item',
     method: 'POST',
     path: item.path,
     hostName: batch.hostName,
--- a/packages/batches/src/newItemScorer.ts
+++ b/packages/batches/src/newItemScorer.ts
@@ -62,6 +62,7 @@
     const newRequest = (crowded: ReadonlySet<string>) => ({
       crowded,
       requestId: scoring.id,
+      work: 'scoring' as const,
       method: 'POST',
       path: scoring.path,
       hostName: scoring.hostName,
--- a/packages/batches/tests/newPeers.test.ts
+++ b/packages/batches/tests/newPeers.test.ts
@@ -117,7 +117,7 @@
   t.deepEqual(await caller.fetchEvacuations(), [
     { failureDomain: 'detroit', isEvacuated: true, offset: 7 },
   ]);
-  const crash = { digest: 'deadly', upstream: 'a@1', endedAt: 1, weight: 1 };
+  const crash = { digest: 'deadly', upstream: 'a@1', endedAt: 1, weight: 1, work: 'call' as const };
   t.deepEqual(await caller.exchangeCrashes([crash]), []);
   t.deepEqual(await caller.exchangeCrashes([]), [crash]);
 });
--- a/packages/batches/tests/newTrialClaims.test.ts
+++ b/packages/batches/tests/newTrialClaims.test.ts
@@ -60,6 +60,7 @@
     upstream,
     endedAt: clock.wallTime(),
     weight: 1,
+    work: 'call' as const,
   }));
   const histories = new Map(HOSTS.map((host) => [host, newCrashHistory(clock)]));
   const [arbiter] = RANKED;
--- a/packages/engines/src/UpstreamClient.ts
+++ b/packages/engines/src/UpstreamClient.ts
@@ -1,9 +1,12 @@
 import type { UpstreamEntry } from './upstreamEntry.js';
 import type { ReportedLoad } from './newLoads.js';
+import type { RequestWork } from './upstreamCrash.js';
 
 /** A request as it is sent to an upstream. */
 export interface UpstreamRequest {
   requestId: string;
+  /** A caller's call if absent. */
+  work?: RequestWork;
   method: string;
   /** Path and query string, unchanged. */
   path: string;
--- a/packages/engines/src/identifyRequest.ts
+++ b/packages/engines/src/identifyRequest.ts
@@ -25,14 +25,14 @@
  */
 const identifyRequest = (
   service: string,
-  { customer, method, path, body }: UpstreamRequest,
+  { work = 'call', customer, method, path, body }: UpstreamRequest,
   prompt: string | null,
 ): RequestIdentity => ({
   content:
     prompt === null
-      ? shortDigest([service, customer, method, path], body)
-      : shortDigest([service, customer, prompt]),
-  path: shortDigest([service, customer, method, path, 'path']),
+      ? shortDigest([work, service, customer, method, path], body)
+      : shortDigest([work, service, customer, prompt]),
+  path: shortDigest([work, service, customer, method, path, 'path']),
 });
 
 export default identifyRequest;
--- a/packages/engines/src/newCrashGuard.ts
+++ b/packages/engines/src/newCrashGuard.ts
@@ -107,7 +107,8 @@
     // A path that others get answers on is hardly the cause, and they must not be held for it.
     const isAnswered = answeredPaths.has(entry.service, request);
     const pathWeight = weight * (isAnswered ? ANSWERED_PATH_FACTOR : PATH_FACTOR);
-    const crash = { upstream, endedAt: clock.wallTime() };
+    const { work = 'call' } = request;
+    const crash = { upstream, endedAt: clock.wallTime(), work };
     const crashes = [
       { ...crash, digest, weight },
       { ...crash, digest: pathDigest, weight: pathWeight },
@@ -192,7 +193,7 @@
       signal: AbortSignal,
     ): Promise<UpstreamOutcome> {
       const identity = identifySuspect(entry.service, request);
-      const held = identity && (await gate.start(entry, identity));
+      const held = identity && (await gate.start(entry, identity, request.work));
       if (held) return refuseHeld(request, held);
       const startedAt = clock.now();
       runGroups.begin(getIncarnationKey(entry));
--- a/packages/engines/src/newCrashHistory.ts
+++ b/packages/engines/src/newCrashHistory.ts
@@ -1,6 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import computeHoldMs from './computeHoldMs.js';
-import type { UpstreamCrash } from './upstreamCrash.js';
+import type { RequestWork, UpstreamCrash } from './upstreamCrash.js';
 
 /** A request that ended upstreams may come again for minutes. */
 const RETENTION_MS = 900_000;
@@ -8,6 +8,24 @@
 /** Number of requests that are remembered; the oldest is forgotten first. */
 const MAX_REQUESTS = 1_024;
 
+/** How long a request may be held at most, in milliseconds. */
+interface HoldLimit {
+  afterCrashMs: number;
+  /** After the start of a run that is tried after a hold. */
+  afterTrialMs: number;
+}
+
+/**
+ * Upstreams that end beside each other take sound items with them, time and again, and an item is owed
+ * whatever ended under it: it has to run within 5 s of calm, also as one of a group with one prompt.
+ * Its score is owed as well, and calls take milliseconds.
+ */
+const HOLD_LIMITS: Record<RequestWork, HoldLimit> = {
+  call: { afterCrashMs: RETENTION_MS, afterTrialMs: RETENTION_MS },
+  item: { afterCrashMs: 4_000, afterTrialMs: 250 },
+  scoring: { afterCrashMs: 5_000, afterTrialMs: 5_000 },
+};
+
 interface RememberedCrash {
   crash: UpstreamCrash;
   /** On the monotonic clock. */
@@ -60,10 +78,21 @@
   };
 
   const computeHistoryHoldMs = (history: RequestHistory): number =>
-    Math.min(RETENTION_MS, computeHoldMs(sumWeights(history), history.crashes.size));
+    computeHoldMs(sumWeights(history), history.crashes.size);
+
+  const findLimit = ({ crashes }: RequestHistory): HoldLimit => {
+    const [first] = crashes.values();
+    return HOLD_LIMITS[first?.crash.work ?? 'call'];
+  };
 
-  const findHeldUntil = (history: RequestHistory): number =>
-    Math.max(history.lastTrialAt, findLastCrashAt(history)) + computeHistoryHoldMs(history);
+  const findHeldUntil = (history: RequestHistory): number => {
+    const holdMs = computeHistoryHoldMs(history);
+    const { afterCrashMs, afterTrialMs } = findLimit(history);
+    return Math.max(
+      history.lastTrialAt + Math.min(holdMs, afterTrialMs),
+      findLastCrashAt(history) + Math.min(holdMs, afterCrashMs),
+    );
+  };
 
   const listCrashes = (): RememberedCrash[] =>
     [...histories.values()].flatMap(({ crashes }) => [...crashes.values()]);
--- a/packages/engines/src/newSuspectGate.ts
+++ b/packages/engines/src/newSuspectGate.ts
@@ -3,7 +3,7 @@
 import type { CrashHistory } from './newCrashHistory.js';
 import type { Directory } from './newDirectory.js';
 import type UpstreamClient from './UpstreamClient.js';
-import type { UpstreamCrash } from './upstreamCrash.js';
+import type { RequestWork, UpstreamCrash } from './upstreamCrash.js';
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 /** Among more upstreams than this another one is most likely up, and is not probed. */
@@ -60,11 +60,13 @@
     entry: UpstreamEntry,
     digest: string,
     isRisky: boolean,
+    maySpareLast = true,
   ): Promise<number | null> => {
     const heldUntil = history.heldUntil(digest);
     if (heldUntil !== null) return heldUntil;
     const isOnTrial = history.isOnTrial(digest);
-    if ((isRisky || isOnTrial) && (await wouldRiskLast(entry, digest))) {
+    const isSparing = maySpareLast && (isRisky || isOnTrial);
+    if (isSparing && (await wouldRiskLast(entry, digest))) {
       return clock.now() + LAST_UPSTREAM_RETRY_MS;
     }
     const retryAt = history.start(digest);
@@ -89,9 +91,14 @@
     start: async (
       entry: UpstreamEntry,
       { content, path }: RequestIdentity,
+      work: RequestWork = 'call',
     ): Promise<Hold | null> => {
-      const contentRetryAt = await startOne(entry, content, history.isSuspect(content));
+      const maySpareLast = work !== 'item';
+      const isRisky = history.isSuspect(content);
+      const contentRetryAt = await startOne(entry, content, isRisky, maySpareLast);
       if (contentRetryAt !== null) return { digest: content, retryAt: contentRetryAt };
+      // An item is owed, so it is not held for others of its path, nor kept from the last upstream.
+      if (work === 'item') return null;
       // One crash says little about a path: other requests may share it.
       const pathRetryAt = await startOne(entry, path, false);
       if (pathRetryAt === null) return null;
--- a/packages/engines/src/upstreamCrash.ts
+++ b/packages/engines/src/upstreamCrash.ts
@@ -1,5 +1,10 @@
 import { z } from 'zod';
 
+/** What a request is part of: a caller's call, the run of an item of a batch, or the scoring of one. */
+export const requestWorkSchema = z.enum(['call', 'item', 'scoring']);
+
+export type RequestWork = z.infer<typeof requestWorkSchema>;
+
 /** An upstream that ended while it ran a request. */
 export const upstreamCrashSchema = z.object({
   /** Digest of the request. */
@@ -10,6 +15,7 @@
   endedAt: z.number(),
   /** How much the crash counts against the request, from 0 to 1. */
   weight: z.number().min(0).max(1).default(1),
+  work: requestWorkSchema.default('call'),
 });
 
 export type UpstreamCrash = z.infer<typeof upstreamCrashSchema>;
--- a/packages/engines/tests/newCrashHistory.test.ts
+++ b/packages/engines/tests/newCrashHistory.test.ts
@@ -11,6 +11,7 @@
     upstream,
     endedAt: clock.wallTime(),
     weight: 1,
+    work: 'call' as const,
   });
   /** Time until the request may run; 0 if it starts now. */
   const startIn = (digest = 'deadly'): number => {
--- a/packages/engines/tests/newGuard.ts
+++ b/packages/engines/tests/newGuard.ts
@@ -8,6 +8,7 @@
 import TruncatedAnswer from '../src/TruncatedAnswer.js';
 import UpstreamClient from '../src/UpstreamClient.js';
 import type { UpstreamOutcome, UpstreamRequest } from '../src/UpstreamClient.js';
+import type { RequestWork } from '../src/upstreamCrash.js';
 import type { UpstreamEntry } from '../src/upstreamEntry.js';
 import { newEntry, silentLog } from './helpers.js';
 
@@ -39,8 +40,14 @@
   },
 });
 
-export const newRequest = (body: string, prompt?: string, path = '/lookup/1'): UpstreamRequest => ({
+export const newRequest = (
+  body: string,
+  prompt?: string,
+  path = '/lookup/1',
+  work: RequestWork = 'call',
+): UpstreamRequest => ({
   requestId: 'r1',
+  work,
   method: 'POST',
   path,
   hostName: 'parts.example',
@@ -99,12 +106,13 @@
     body = 'deadly',
     prompt?: string,
     path?: string,
+    work?: RequestWork,
   ): Promise<UpstreamOutcome> => {
     const entry = entries[upstream] as UpstreamEntry;
     const deadline = clock.now() + 1_000;
     const outcome = await guard.send(
       entry,
-      newRequest(body, prompt, path),
+      newRequest(body, prompt, path, work),
       deadline,
       signal.signal,
     );
@@ -122,4 +130,6 @@
   return { clock, directory, history, state, guard, entries, signal, run, isHeld };
 };
 
+export type Guard = ReturnType<typeof newGuard>;
+
 export default newGuard;
