What an upstream may send is bounded for each reader, and ends in time

Cause: answers had no bounds of their own. A relayed stream had no timer for its deadline; for an item any byte was a sign of life.

--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
+import newDeadlineSignal from '@cyclamengate/common/newDeadlineSignal';
 import { announcedBytes, readBody } from '@cyclamengate/common/readBody';
 import type { BodyFault } from '@cyclamengate/common/readBody';
 import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
@@ -85,10 +86,8 @@
     controller: AbortController,
   ): Promise<void> => {
     const { signal } = controller;
-    const sent = new AbortController();
-    clock.sleepUntil(deadline, sent.signal).then(() => {
-      if (!sent.signal.aborted) controller.abort('deadline');
-    });
+    const timeout = newDeadlineSignal(clock, deadline);
+    timeout.signal.addEventListener('abort', () => controller.abort('deadline'));
     try {
       for await (const chunk of rest) {
         if (!response.write(chunk)) await once(response, 'drain', { signal });
@@ -100,7 +99,7 @@
       if (!(error instanceof TruncatedAnswer) && !signal.aborted) throw error;
       log.warn('request.answer-cut', { error: (error as Error).message });
     } finally {
-      sent.abort('over');
+      timeout.end();
     }
   };
 
--- /dev/null
+++ b/apps/host/tests/endlessAnswers.process.test.ts
@@ -0,0 +1,67 @@
+import type { EndlessPart } from '@cyclamengate/app-platform-standin/sendWithoutEnd';
+import test from 'ava';
+import { batchBody, readAllResults, submitUntilKnown } from './batchHelpers.js';
+import { newMemorySystem } from './memoryHelpers.js';
+import { send, sleep } from './newHosts.js';
+import type { TestHost } from './newHosts.js';
+
+const CALLERS = 12;
+const ENDLESS_MS = 6_000;
+/** The route allows far more; the callers give less. */
+const DEADLINE_MS = 1_500;
+/** By how much a final answer may come after its deadline, on a machine that is busy. */
+const LATE_MS = 1_500;
+
+/** Sends one request; @returns its status, or `cut` if the answer broke off, and whether it was late. */
+const lookUp = async (host: TestHost, id: string) => {
+  const startedAt = Date.now();
+  const headers = { 'deadline-ms': String(DEADLINE_MS) };
+  const status = await send(host, 'POST', '/lookup/7', { id, body: 'x', headers }).then(
+    (answer) => answer.status,
+    () => 'cut' as const,
+  );
+  return { status, isLate: Date.now() > startedAt + DEADLINE_MS + LATE_MS };
+};
+
+(['head', 'body', 'chunks'] as EndlessPart[]).forEach((part) => {
+  test.serial(`bytes without end in a ${part} of a plain answer end no host`, async (t) => {
+    // Guards against hosts that collect what an upstream sends until they are ended, and callers that
+    // wait for the end of it.
+    const { platform, system, first, checkHosts } = await newMemorySystem(t);
+    platform.plain.forEach(({ faults }) => Object.assign(faults, { endlessPart: part }));
+    const until = Date.now() + ENDLESS_MS;
+    const statuses = new Set<number | 'cut'>();
+    const call = async (caller: number): Promise<void> => {
+      for (let count = 0; Date.now() < until; count += 1) {
+        const host = system.hosts[(caller + count) % system.hosts.length] as TestHost;
+        const { status, isLate } = await lookUp(host, `endless-${caller}-${count}`);
+        statuses.add(status);
+        t.false(isLate);
+      }
+    };
+    await Promise.all(Array.from({ length: CALLERS }, (_, caller) => call(caller)));
+    t.false(statuses.has(200), 'no such answer is whole');
+    checkHosts();
+    platform.plain.forEach(({ faults }) => Object.assign(faults, { endlessPart: null }));
+    await sleep(DEADLINE_MS);
+    t.is((await send(first, 'POST', '/lookup/7', { id: 'sound', body: 'x' })).status, 200);
+  });
+});
+
+(['head', 'body', 'chunks', 'event'] as EndlessPart[]).forEach((part) => {
+  test.serial(`bytes without end in a ${part} of a stream end no host, and no item`, async (t) => {
+    // Guards against hosts that collect what an engine sends until they are ended, and items that wait
+    // for the end of it.
+    const { platform, second, first, checkHosts } = await newMemorySystem(t);
+    const setEndless = (endlessPart: EndlessPart | null): void =>
+      platform.engines.forEach(({ faults }) => Object.assign(faults, { endlessPart }));
+    setEndless(part);
+    t.is((await submitUntilKnown(first, 'b1', batchBody('b1', 4, 4))).status, 202);
+    await sleep(ENDLESS_MS);
+    checkHosts();
+    setEndless(null);
+    const page = await readAllResults(second, 'b1');
+    t.true(page.results.every(({ state }) => state === 'completed'));
+    checkHosts();
+  });
+});
--- a/apps/platform-standin/src/newEngineServer.ts
+++ b/apps/platform-standin/src/newEngineServer.ts
@@ -2,6 +2,8 @@
 import listenOnLoopback from './listenOnLoopback.js';
 import type { LoopbackServer } from './listenOnLoopback.js';
 import { readBody, sendJson } from './httpBodies.js';
+import sendWithoutEnd from './sendWithoutEnd.js';
+import type { EndlessPart } from './sendWithoutEnd.js';
 
 const EVENT_INTERVAL_MS = 15;
 const LOAD_MS = 150;
@@ -17,6 +19,8 @@
    * no length. Null for no limit.
    */
   closeAfterEvents: number | null;
+  /** Where each stream has no end; null for whole streams. */
+  endlessPart: EndlessPart | null;
   /** Factor by which the interval between events is multiplied. */
   slowdownFactor: number;
   /** Number of bytes by which the data of each event is longer. */
@@ -65,6 +69,7 @@
     isUnresponsive: false,
     resetAfterEvents: null,
     closeAfterEvents: null,
+    endlessPart: null,
     slowdownFactor: 1,
     paddingBytes: 0,
     hasWrongAttemptId: false,
@@ -130,6 +135,11 @@
       body: body.toString(),
       bytes: body,
     });
+    if (faults.endlessPart !== null) {
+      const names = { 'attempt-id': requestId, 'server-stamp': `${id}.${requestId}` };
+      sendWithoutEnd(response, faults.endlessPart, names);
+      return;
+    }
     response.useChunkedEncodingByDefault = faults.closeAfterEvents === null;
     response.writeHead(200, {
       'content-type': 'text/event-stream',
--- a/apps/platform-standin/src/newPlainServer.ts
+++ b/apps/platform-standin/src/newPlainServer.ts
@@ -2,6 +2,8 @@
 import listenOnLoopback from './listenOnLoopback.js';
 import type { LoopbackServer } from './listenOnLoopback.js';
 import { readBody } from './httpBodies.js';
+import sendWithoutEnd from './sendWithoutEnd.js';
+import type { EndlessPart } from './sendWithoutEnd.js';
 
 const RESPONSE_DELAY_MS = 10;
 
@@ -14,6 +16,8 @@
     responseDelayMs: number;
     /** Number of next answers that have no length and are broken off in the middle by a reset. */
     brokenAnswers: number;
+    /** Where each answer has no end; null for whole answers. */
+    endlessPart: EndlessPart | null;
     /** A request with this body crashes the server. */
     deadlyBody: string | null;
     /** A request with this path crashes the server. */
@@ -37,6 +41,7 @@
     isOverloaded: false,
     responseDelayMs: RESPONSE_DELAY_MS,
     brokenAnswers: 0,
+    endlessPart: null,
     deadlyBody: null,
     deadlyPath: null,
   };
@@ -65,6 +70,10 @@
         crash();
         return;
       }
+      if (faults.endlessPart !== null) {
+        sendWithoutEnd(response, faults.endlessPart, answerHeaders);
+        return;
+      }
       if (faults.brokenAnswers > 0) {
         faults.brokenAnswers -= 1;
         breakOff(response, answerHeaders, body);
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -90,12 +90,13 @@
     // prompt.
     let lastAt: number | null = null;
     for await (const chunk of answer.body) {
-      idleTimeout.reset();
       // Before it is read: an event that never ends would be collected until this host ends.
       if (!holdText(chunk.length)) {
         return { type: 'no-room', retryAt: clock.now() + NO_ROOM_RETRY_MS };
       }
       const events = reader(chunk);
+      // Bytes alone are no sign of life: those that are no answer may come without end.
+      if (events.length > 0) idleTimeout.reset();
       if (lastAt !== null) {
         const gapMs = (clock.now() - lastAt) / events.length;
         events.forEach(() => onEvent(gapMs));
--- a/packages/engines/src/newAnswerGuard.ts
+++ b/packages/engines/src/newAnswerGuard.ts
@@ -8,6 +8,8 @@
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 const FIRST_FAILURE_STATUS = 300;
+/** What an upstream may send without completing an event; one holds some tokens. */
+const MAX_EVENT_BYTES = 4_194_304;
 
 export interface AnswerGuardOptions {
   log: EventLog;
@@ -38,7 +40,9 @@
   ): AsyncGenerator<Buffer> {
     const tail = newEventTail();
     for await (const chunk of body) {
-      if (isEventStream) tail.add(chunk);
+      if (isEventStream && tail.add(chunk) > MAX_EVENT_BYTES) {
+        throw cut(entry, request, 'event without an end');
+      }
       yield chunk;
     }
     if (tail.pendingBytes() > 0) throw cut(entry, request, 'ended within an event');
--- a/packages/engines/tests/newAnswerGuard.test.ts
+++ b/packages/engines/tests/newAnswerGuard.test.ts
@@ -124,3 +124,14 @@
     },
   );
 });
+
+test('an event that never ends is given up', async (t) => {
+  // Guards against hosts that collect bytes without end, which an upstream in trouble may send.
+  const filler = 'x'.repeat(1_000_000);
+  const chunks = [...EVENTS, 'id: 3\ndata: ', ...Array.from({ length: 6 }, () => filler)];
+  t.like(await read(await sendThrough(chunks)), { isWhole: false });
+  const comments = Array.from({ length: 6 }, () => `:${filler}\n`);
+  t.like(await read(await sendThrough(comments)), { isWhole: false });
+  const large = ['data: ', filler, filler, '\n\n'];
+  t.like(await read(await sendThrough([...large, ...large, ...large])), { isWhole: true });
+});
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type Clock from '@cyclamengate/common/Clock';
+import newDeadlineSignal from '@cyclamengate/common/newDeadlineSignal';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import { unlimitedLease } from '@cyclamengate/common/newMemoryBudget';
 import chooseUpstream from '@cyclamengate/engines/chooseUpstream';
@@ -14,6 +15,7 @@
 import computeTransferMs from '@cyclamengate/engines/computeTransferMs';
 import type { Candidates } from './newCandidates.js';
 import newEventSplitter from './newEventSplitter.js';
+import { computeAnswerDeadline } from './newPlainAttempt.js';
 import type { RelayedRequest } from './newPlainAttempt.js';
 import { readAnswerBody } from './readAnswerBody.js';
 import { answered } from './relayOutcome.js';
@@ -50,7 +52,7 @@
   candidate: Candidate;
 }
 
-type AttemptEnd = 'whole' | 'broken' | 'not-run' | 'held' | 'failed' | 'caller-gone';
+type AttemptEnd = 'whole' | 'broken' | 'not-run' | 'held' | 'failed' | 'given-up';
 
 /**
  * Relays a stream of events as they arrive.
@@ -59,7 +61,8 @@
  * resumable stream continues at another upstream after its last complete event, within one
  * response. Any other stream is ended by destroying the connection, which the caller can't mistake
  * for a regular end. An upstream that falls silent in the middle of a resumable stream counts as
- * failed; the connection may have been forgotten between the two ends.
+ * failed; the connection may have been forgotten between the two ends. Whatever its upstream does, a
+ * stream ends at its deadline.
  */
 const newStreamRelay = (options: StreamRelayOptions) => {
   const { clock, log, client, candidates, health, loads } = options;
@@ -67,8 +70,10 @@
   return async (
     request: RelayedRequest,
     response: ServerResponse,
-    signal: AbortSignal,
+    callerSignal: AbortSignal,
   ): Promise<RelayOutcome> => {
+    const deadline = newDeadlineSignal(clock, computeAnswerDeadline(request));
+    const signal = AbortSignal.any([callerSignal, deadline.signal]);
     const tried = new Set<string>();
     let { lastEventId } = request;
     /** Whether an upstream may have run the request. */
@@ -136,7 +141,7 @@
         ),
         idle ? AbortSignal.any([signal, idle.signal]) : signal,
       );
-      if (signal.aborted) return 'caller-gone';
+      if (signal.aborted) return 'given-up';
       if (outcome.type === 'fault') {
         if (outcome.fault.type === 'held') {
           heldUntil = outcome.fault.retryAt;
@@ -163,7 +168,7 @@
         if (!(error instanceof TruncatedAnswer)) throw error;
         lastReason = idle?.signal.aborted ? 'silent' : error.message;
         if (!signal.aborted) health.recordFailure(entry.id, lastReason);
-        return signal.aborted ? 'caller-gone' : 'broken';
+        return signal.aborted ? 'given-up' : 'broken';
       }
     };
 
@@ -191,13 +196,14 @@
       idle?.end();
       loads.end(next.entry.id);
       if (end === 'whole') {
+        deadline.end();
         response.end();
         health.recordSuccess(next.entry.id);
         const { status, headers, signature } = headOf as unknown as UpstreamAnswer;
         const answer = { status, headers, signature, body: Buffer.alloc(0), rest: null };
         return answered(answer, next, tried.size);
       }
-      hasRun = hasRun || end === 'broken' || end === 'failed';
+      hasRun ||= end === 'broken' || end === 'failed' || deadline.signal.aborted;
       log.info('stream.run-ended', {
         requestId: request.requestId,
         upstream: next.entry.id,
@@ -206,6 +212,7 @@
         reason: lastReason,
       });
     }
+    deadline.end();
     if (response.headersSent) response.destroy();
     const upstreams = tried.size;
     const failed = failure as StreamFailure | null;
@@ -216,7 +223,7 @@
     }
     const refusal = hasRun
       ? withRetryAt(
-          uncertain('upstream-failed'),
+          deadline.signal.aborted ? uncertain('deadline', 504) : uncertain('upstream-failed'),
           heldUntil ?? client.heldUntil(request.service, request),
           clock.now(),
         )
--- a/packages/gateway/tests/newPlainRelay.test.ts
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -307,6 +307,18 @@
   t.false(sent.some(({ signal }) => signal.aborted));
 });
 
+test('an answer that may have no end is passed on as it arrives', async (t) => {
+  // Guards against callers that wait in vain for the end of an answer, and hosts that collect it.
+  const chunk = 'x'.repeat(1_000_000);
+  const chunks = Array.from({ length: 20 }, () => chunk);
+  const answerLease = newAnswerLease(Number.POSITIVE_INFINITY);
+  const { clock, relay } = newTestRelay({ working: answering(chunks) });
+  const result = await relay(newRequest(clock, { answerLease }), neverAborted);
+  if (result.type !== 'answer') throw new Error('refused');
+  t.true(result.answer.body.length < 10 * chunk.length);
+  t.is(result.answer.body.toString() + (await joinRest(result.answer.rest)), chunks.join(''));
+});
+
 test('an answer of which only the signature is of use is read and not held', async (t) => {
   // Guards against scoring calls whose answers fill the memory of the host.
   const { clock, relay } = newTestRelay({ working: answering(CHUNKS) });
--- a/packages/gateway/tests/newStreamRelay.test.ts
+++ b/packages/gateway/tests/newStreamRelay.test.ts
@@ -223,3 +223,16 @@
   t.is(text, event(1) + event(2));
   t.true(isComplete);
 });
+
+test('a stream whose upstream falls silent ends at its deadline', async (t) => {
+  // Guards against a stream that nothing but its caller ends, since no other upstream could resume it.
+  const clock = newManualClock();
+  const changes = { isIdempotent: false, deadline: clock.now() + 1_500 };
+  const { received, outcomes } = await relayStream(t, clock, { a: stalling }, changes);
+  await waitForDelivery();
+  await clock.advance(1_400);
+  t.is(outcomes.length, 0);
+  await clock.advance(200);
+  t.like(await received, { text: event(1) + event(2), isComplete: false });
+  t.like(outcomes[0], { type: 'refusal', hasRun: true });
+});
