Where an event ends is told by whole line ends

A carriage return at the end of a chunk counted as the end of an event, and the line feed after it as the beginning of the next one.

--- a/packages/engines/src/computeHoldMs.ts
+++ b/packages/engines/src/computeHoldMs.ts
@@ -13,7 +13,8 @@
  * Answers the load of a request that crashes each upstream that runs it, while its caller sends it
  * again. An upstream takes the requests that it runs beside with it, and those are sent to the next
  * one together, so innocent requests may meet two crashes in a row. They are held for a second,
- * which a training step bears, and their next run clears them.
+ * which a training step bears, and their next run clears them. Work that is owed is held for less, see
+ * `newCrashHistory`.
  * @param evidence sum of the weights of the crashes
  * @param crashes number of upstreams that have ended under the request
  */
--- a/packages/engines/src/newAnswerGuard.ts
+++ b/packages/engines/src/newAnswerGuard.ts
@@ -8,7 +8,7 @@
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 const FIRST_FAILURE_STATUS = 300;
-/** What an upstream may send without completing an event; one holds some tokens. */
+/** What an upstream may send without the end of an event; events hold some tokens. */
 const MAX_EVENT_BYTES = 4_194_304;
 
 export interface AnswerGuardOptions {
@@ -20,7 +20,7 @@
 /**
  * Decides for all requests alike, callers', items and scoring calls, whether an answer may go on.
  *
- * A success bears its upstream's signature, or it is none of its.
+ * A success bears its upstream's signature; without one it is not that upstream's.
  *
  * A stream of events is whole only if it ends between two events. The operating system closes the
  * connections of a process that is killed like those of one that is done, so an answer without a
--- a/packages/engines/src/newEventTail.ts
+++ b/packages/engines/src/newEventTail.ts
@@ -1,7 +1,7 @@
 import findEventEnd from './findEventEnd.js';
 
-/** An event ends with up to four bytes of line ends, which may arrive in two chunks. */
-const KEPT_BYTES = 3;
+/** The line ends after an event may arrive in two chunks. */
+const KEPT_BYTES = 2;
 
 /** Counts the bytes of a stream of events since its last complete event. */
 const newEventTail = () => {
