Crashes under items are kept by their content only; a body is an iterable

Read as a whole, the change kept and shared a crash by its path for each item too, which nothing reads: no item is held for others of its path. A body's own interface said what AsyncIterable says. The stand-in's comment names all its cases.

--- a/apps/platform-standin/src/sendWithoutEnd.ts
+++ b/apps/platform-standin/src/sendWithoutEnd.ts
@@ -2,7 +2,7 @@
 
 const PIECE_BYTES = 65_536;
 
-/** Where an answer has no end: in its head, in a body without a length, or in one of chunks. */
+/** Where an answer has no end: in its head, in a body without a length, in one of chunks, or in an event. */
 export type EndlessPart = 'head' | 'body' | 'chunks' | 'event';
 
 const STARTS: Record<EndlessPart, string> = {
--- a/packages/engines/src/newCrashGuard.ts
+++ b/packages/engines/src/newCrashGuard.ts
@@ -109,10 +109,10 @@
     const pathWeight = weight * (isAnswered ? ANSWERED_PATH_FACTOR : PATH_FACTOR);
     const { work = 'call' } = request;
     const crash = { upstream, endedAt: clock.wallTime(), work };
-    const crashes = [
-      { ...crash, digest, weight },
-      { ...crash, digest: pathDigest, weight: pathWeight },
-    ];
+    const ofContent = { ...crash, digest, weight };
+    const ofPath = { ...crash, digest: pathDigest, weight: pathWeight };
+    // No item is held for others of its path.
+    const crashes = work === 'item' ? [ofContent] : [ofContent, ofPath];
     const hasEnded = await client.hasEnded(entry);
     if (hasEnded) options.onEnded(entry);
     if (wasStaying && hasEnded) crashes.forEach(history.add);
--- a/packages/upstreams/src/newAnswerBody.ts
+++ b/packages/upstreams/src/newAnswerBody.ts
@@ -3,18 +3,16 @@
 /** Bytes that wait for their reader before the upstream has to wait. */
 const MAX_WAITING_BYTES = 65_536;
 
-/** The body of an answer as it arrives; ends its connection if it is not read to its end. */
-export interface AnswerBody extends AsyncIterable<Buffer> {
-  [Symbol.asyncIterator]: () => AsyncIterableIterator<Buffer>;
-}
-
 export interface AnswerBodyOptions {
   gate: SocketGate;
   /** Called when the reader leaves before the end. */
   abandon: () => void;
 }
 
-/** Holds what of a body its reader has not asked for yet; no more than one read above the limit. */
+/**
+ * The body of an answer as it arrives. Holds what its reader has not asked for yet, no more than one
+ * read above the limit.
+ */
 const newAnswerBody = ({ gate, abandon }: AnswerBodyOptions) => {
   const waiting: Buffer[] = [];
   let waitingBytes = 0;
@@ -51,7 +49,7 @@
   };
 
   return {
-    body: iterator as AnswerBody,
+    body: iterator as AsyncIterable<Buffer>,
     add: (chunk: Buffer): void => {
       if (end !== null) return;
       waiting.push(chunk);
--- a/packages/upstreams/src/sendOn.ts
+++ b/packages/upstreams/src/sendOn.ts
@@ -1,7 +1,6 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Client, Dispatcher } from 'undici';
 import newAnswerBody from './newAnswerBody.js';
-import type { AnswerBody } from './newAnswerBody.js';
 import type { SocketGate } from './newSocketGate.js';
 
 const FIRST_FINAL_STATUS = 200;
@@ -14,7 +13,8 @@
 export interface ConnectionAnswer {
   statusCode: number;
   headers: IncomingHttpHeaders;
-  body: AnswerBody;
+  /** Closes the connection if its reader leaves before the end. */
+  body: AsyncIterable<Buffer>;
 }
 
 /**
