--- a/apps/entry/src/newCompletionHandler.ts
+++ b/apps/entry/src/newCompletionHandler.ts
@@ -5,7 +5,7 @@
 import newId from '@cyclamengate/common/newId';
 import { Err } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
-import { parseJson } from '@cyclamengate/common/readBody';
+import parseJson from '@cyclamengate/common/parseJson';
 import { formatProblems, restore } from '@cyclamengate/common/restore';
 import writeEvent from '@cyclamengate/common/writeEvent';
 import { notRun } from '@cyclamengate/routing/refusal';
--- a/packages/common/src/parseRecord.ts
+++ b/packages/common/src/parseRecord.ts
@@ -1,6 +1,6 @@
-import { parseJson } from './readBody.js';
+import parseJson from './parseJson.js';
 
-/** Parses a record's JSON. Returns null, which every schema rejects, for invalid JSON. */
+/** Parses a record's JSON. Returns null, which every schema rejects, for what is no JSON, or too deep. */
 const parseRecord = (body: Buffer): unknown => {
   const parsed = parseJson(body.toString());
   return parsed.ok ? parsed.val : null;
--- a/packages/common/src/readBody.ts
+++ b/packages/common/src/readBody.ts
@@ -54,12 +54,3 @@
     request.once('error', () => finish(Err('aborted')));
     request.once('close', () => finish(Err('aborted')));
   });
-
-/** Parses JSON text as a value of unknown shape. */
-export const parseJson = (text: string): Result<unknown, 'not-json'> => {
-  try {
-    return Ok(JSON.parse(text) as unknown);
-  } catch {
-    return Err('not-json');
-  }
-};
--- a/packages/common/src/restore.ts
+++ b/packages/common/src/restore.ts
@@ -10,6 +10,9 @@
 }
 
 const MAX_FOUND_CHARACTERS = 80;
+const MAX_PATH_CHARACTERS = 200;
+/** A list with thousands of wrong members has as many problems. */
+const MAX_PROBLEMS = 50;
 
 const valueAt = (raw: unknown, path: PropertyKey[]): unknown =>
   path.reduce<unknown>(
@@ -20,20 +23,24 @@
     raw,
   );
 
+/** Never the whole of a list or an object, which may be of any size. */
 const describe = (value: unknown): string => {
   if (value === undefined) return 'nothing';
-  return (JSON.stringify(value) ?? String(value)).slice(0, MAX_FOUND_CHARACTERS);
+  if (Array.isArray(value)) return `a list of ${value.length}`;
+  if (typeof value === 'object' && value !== null) return 'an object';
+  const text = typeof value === 'string' ? value.slice(0, MAX_FOUND_CHARACTERS) : value;
+  return (JSON.stringify(text) ?? String(text)).slice(0, MAX_FOUND_CHARACTERS);
 };
 
 /**
  * Validates external data against its schema, once, where the data enters the process.
- * @returns the typed value, or all problems found
+ * @returns the typed value, or the problems found
  */
 export const restore = <T>(schema: ZodType<T>, raw: unknown): Result<T, Problem[]> => {
   const parsed = schema.safeParse(raw);
   if (parsed.success) return Ok(parsed.data);
-  const problems = parsed.error.issues.map((issue) => ({
-    path: issue.path.map(String).join('.') || '(whole)',
+  const problems = parsed.error.issues.slice(0, MAX_PROBLEMS).map((issue) => ({
+    path: issue.path.map(String).join('.').slice(0, MAX_PATH_CHARACTERS) || '(whole)',
     found: describe(valueAt(raw, issue.path)),
     expected: issue.message,
   }));
--- a/packages/coordination/src/findCheckpoint.ts
+++ b/packages/coordination/src/findCheckpoint.ts
@@ -1,4 +1,4 @@
-import { parseJson } from '@cyclamengate/common/readBody';
+import parseJson from '@cyclamengate/common/parseJson';
 import { restore } from '@cyclamengate/common/restore';
 import type { LogRecord } from '@cyclamengate/platform/logRecord';
 import { checkpointRecordSchema } from './checkpointRecord.js';
--- a/packages/coordination/src/newFold.ts
+++ b/packages/coordination/src/newFold.ts
@@ -1,6 +1,6 @@
 import assertNever from '@cyclamengate/common/assertNever';
 import invariant from '@cyclamengate/common/invariant';
-import { parseJson } from '@cyclamengate/common/readBody';
+import parseJson from '@cyclamengate/common/parseJson';
 import { restore } from '@cyclamengate/common/restore';
 import type { LogRecord } from '@cyclamengate/platform/logRecord';
 import applySettingsChange from '@cyclamengate/settings/applySettingsChange';
--- a/packages/coordination/src/newPeer.ts
+++ b/packages/coordination/src/newPeer.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
-import { parseJson } from '@cyclamengate/common/readBody';
+import parseJson from '@cyclamengate/common/parseJson';
 import { restore } from '@cyclamengate/common/restore';
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { z } from 'zod';
