An engine that answers no weight order lets the others of its domain go first

What was seen: with one entry that names an address at which nothing listens, a domain of few engines ordered weights for that entry only, every 0.8 s; its other engines kept old weights for good.

Cause: what is due is ordered by versions behind only, so the engine that had just failed was first again when its turn was over.

Change: engines whose last order failed come after the others.

--- a/packages/engines/src/loadWeights.ts
+++ b/packages/engines/src/loadWeights.ts
@@ -42,6 +42,10 @@
   maxConcurrentLoads: () => number;
 }
 
+/** Both may be minus infinity. */
+const compareTimes = (left: number, right: number): number =>
+  Number(left > right) - Number(left < right);
+
 interface PendingLoad {
   model: string;
   version: number;
@@ -61,6 +65,8 @@
   const { clock, log, host, orders, getLease, findDue, findEngine, maxConcurrentLoads } = options;
   const pendingLoads = new Map<string, PendingLoad>();
   const acceptedCounts = new Map<string, number>();
+  /** When the last order to an engine failed, by its id, on the monotonic clock. */
+  const failedAt = new Map<string, number>();
 
   const isFinished = (id: string, load: PendingLoad): boolean => {
     const entry = findEngine(id);
@@ -68,10 +74,14 @@
     return !entry || isLoaded || clock.now() >= load.deadline;
   };
 
-  const removeFinished = (): void =>
+  const removeFinished = (): void => {
     pendingLoads.forEach((load, id) => {
       if (isFinished(id, load)) pendingLoads.delete(id);
     });
+    failedAt.forEach((_, id) => {
+      if (!findEngine(id)) failedAt.delete(id);
+    });
+  };
 
   /** Asks the engine only if no count is cached, since its report lags by about 100 ms. */
   const countAcceptedOrders = async (entry: UpstreamEntry): Promise<number | null> =>
@@ -86,6 +96,7 @@
     const lease = getLease(ORDER_TIMEOUT_MS);
     if (afterOrders === null || !lease) {
       log.warn('weights.not-ordered', { upstream: entry.id, model, isHeld: lease !== null });
+      failedAt.set(entry.id, clock.now());
       load.deadline = clock.now() + UNKNOWN_OUTCOME_DELAY_MS / 2;
       return;
     }
@@ -104,22 +115,29 @@
     });
     if (outcome === 'accepted') {
       acceptedCounts.set(getIncarnationKey(entry), afterOrders + 1);
+      failedAt.delete(entry.id);
       return;
     }
     // After any other outcome the cached count may be wrong, so the engine is asked again.
     acceptedCounts.delete(getIncarnationKey(entry));
+    failedAt.set(entry.id, clock.now());
     load.deadline =
       clock.now() +
       (outcome === 'conflict' ? UNKNOWN_OUTCOME_DELAY_MS / 3 : UNKNOWN_OUTCOME_DELAY_MS);
   };
 
+  const failureTime = ({ entry }: DueLoad): number => failedAt.get(entry.id) ?? -Infinity;
+
   const startDue = (): void => {
     if (!getLease(2 * ORDER_TIMEOUT_MS)) {
       acceptedCounts.clear();
+      failedAt.clear();
       return;
     }
+    // An engine that answers no order must not take the turns of the others again and again.
     findDue()
       .filter(({ entry }) => !pendingLoads.has(entry.id))
+      .sort((left, right) => compareTimes(failureTime(left), failureTime(right)))
       .slice(0, Math.max(0, maxConcurrentLoads() - pendingLoads.size))
       .forEach((due) => {
         if (!pendingLoads.has(due.entry.id)) place(due);
--- a/packages/engines/tests/loadWeights.test.ts
+++ b/packages/engines/tests/loadWeights.test.ts
@@ -13,7 +13,7 @@
   const accepted = new Map<string, number>();
   const orders: WeightOrder[] = [];
   const late: WeightOrder[] = [];
-  const faults = { late: 0 };
+  const faults = { late: 0, unreachable: '' };
 
   const carryOut = ({ entry, model, version, afterOrders }: WeightOrder): WeightOrderOutcome => {
     const count = accepted.get(entry.id) ?? 0;
@@ -25,8 +25,8 @@
   };
 
   class FakeOrders extends WeightOrders {
-    async countAccepted({ id }: UpstreamEntry): Promise<number> {
-      return accepted.get(id) ?? 0;
+    async countAccepted({ id }: UpstreamEntry): Promise<number | null> {
+      return id === faults.unreachable ? null : (accepted.get(id) ?? 0);
     }
 
     async place(order: WeightOrder): Promise<WeightOrderOutcome> {
@@ -113,3 +113,13 @@
   t.deepEqual(['one', 'two', 'three'].map(engines.version), [2, 2, 2]);
   await end();
 });
+
+test('an engine that answers no order does not take the turns of the others', async (t) => {
+  // Guards against a domain whose engines keep old weights since one entry names an address at which
+  // nothing listens.
+  const { clock, engines, end } = startLoading(['e1', 'e2', 'e3']);
+  engines.faults.unreachable = 'e2';
+  await clock.advance(6_000);
+  await end();
+  t.deepEqual(['e1', 'e2', 'e3'].map(engines.version), [2, 1, 2]);
+});
