A value of another program costs itself alone, with a line and a counter

What was seen: an error in the code that applied one record ended the process, since it rejected the task that follows the topic; a record that was no JSON was passed over without a word.

Change: newOddValues reports what a schema rejects and what the code behind it breaks on, by source, ten lines in 10 s at most and all counted. The followers of keyed topics and the readers of records apply each value through it.

--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -5,6 +5,7 @@
 import type { Peers } from '@cyclamengate/batches/newPeers';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { OddValues } from '@cyclamengate/common/newOddValues';
 import type { NewestVersion } from '@cyclamengate/engines/findDueLoads';
 import type { Directory } from '@cyclamengate/engines/newDirectory';
 import type { Evacuations } from '@cyclamengate/engines/newEvacuations';
@@ -33,6 +34,7 @@
   clock: Clock;
   log: EventLog;
   store: Store;
+  oddValues: OddValues;
   settingsView: SettingsView;
   directory: Directory;
   evacuations: Evacuations;
@@ -44,19 +46,22 @@
 /** Follows the operator's settings, the newest version of each model and the list of upstreams. */
 const followPlatform = (options: FollowPlatformOptions) => {
   const { clock, log, store, settingsView, directory, evacuations, peers } = options;
-  const { readIntervalFactor } = options;
+  const { oddValues, readIntervalFactor } = options;
   const versions = new Map<string, NewestVersion>();
 
   const applySettings = (value: Buffer, from: string): void => {
     const settings = parseOperatorSettings(value);
     if (settings.ok) settingsView.put(settings.val, value.toString());
-    else log.error('settings.unreadable', { from, problems: settings.val.slice(0, 5) });
+    else {
+      const problems = settings.val.slice(0, 5);
+      oddValues.reject('settings', 'settings.unreadable', { from, problems });
+    }
   };
 
   const applyVersion = (value: Buffer, offset: number): void => {
     const named = parseNamedVersion(value);
     if (!named) {
-      log.error('version.unreadable', { offset });
+      oddValues.reject('versions', 'version.unreadable', { offset });
       return;
     }
     if (named.version <= (versions.get(named.model)?.version ?? 0)) return;
@@ -68,7 +73,7 @@
   const applyEvacuation = ({ key, value, offset }: KeyedRecord): void => {
     const failureDomain = key.slice(EVACUATION_PREFIX.length);
     if (value !== null && !isEvacuationRecord(value)) {
-      log.error('evacuation.unreadable', { failureDomain, offset });
+      oddValues.reject('evacuations', 'evacuation.unreadable', { failureDomain, offset });
       return;
     }
     evacuations.apply({ failureDomain, isEvacuated: value !== null, offset }, 'store');
@@ -92,7 +97,10 @@
     }
     const entry = parseUpstream(key, value, clock.now());
     if (entry.ok) directory.put(entry.val);
-    else log.warn('upstream.unreadable', { upstream: key, problems: entry.val.slice(0, 3) });
+    else {
+      const problems = entry.val.slice(0, 3);
+      oddValues.reject('upstreams', 'upstream.unreadable', { upstream: key, problems });
+    }
   };
 
   const readWaitMs = (): number => READ_WAIT_MS * readIntervalFactor();
@@ -102,6 +110,8 @@
     log,
     store,
     topic: OPERATOR_TOPIC,
+    oddValues,
+    source: 'settings',
     readIntervalMs: () => SETTINGS_READ_INTERVAL_MS,
     readWaitMs: () => Math.min(MAX_SETTINGS_READ_WAIT_MS, readWaitMs()),
     apply: applyOperatorRecord,
@@ -111,6 +121,8 @@
     log,
     store,
     topic: UPSTREAMS_TOPIC,
+    oddValues,
+    source: 'upstreams',
     readIntervalMs: () => UPSTREAMS_READ_INTERVAL_MS * readIntervalFactor(),
     readWaitMs,
     apply: applyUpstream,
--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -24,6 +24,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import newId from '@cyclamengate/common/newId';
+import type { OddValues } from '@cyclamengate/common/newOddValues';
 import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import newStoreWriter from '@cyclamengate/store/newStoreWriter';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
@@ -53,6 +54,7 @@
   log: EventLog;
   memory: MemoryBudget;
   store: Store;
+  oddValues: OddValues;
   host: string;
   incarnation: string;
   /** Time for which batches can be read after they were accepted. */
@@ -63,7 +65,8 @@
 
 /** Follows the batches in the store and writes their records. */
 const newBatchStore = (options: BatchStoreOptions) => {
-  const { clock, log, memory, store, host, incarnation, retentionMs, readIntervalFactor } = options;
+  const { clock, log, memory, store, oddValues, host, incarnation, retentionMs } = options;
+  const { readIntervalFactor } = options;
 
   const partTexts = newPartialTexts(clock);
   const heldRequests = newHeldRequests(memory);
@@ -80,7 +83,12 @@
     store,
     topic: TOPIC,
     readIntervalMs: () => READ_INTERVAL_MS * readIntervalFactor(),
-    apply: newRecordReader({ log, topic: TOPIC, schema: batchRecordSchema, apply: batches.apply }),
+    apply: newRecordReader({
+      oddValues,
+      topic: TOPIC,
+      schema: batchRecordSchema,
+      apply: batches.apply,
+    }),
   });
   const writer = newStoreWriter({ clock, log, store, topic: TOPIC, producer: incarnation });
 
@@ -125,7 +133,7 @@
   };
 
   const applyParts = newRecordReader({
-    log,
+    oddValues,
     topic: PARTS_TOPIC,
     schema: partSchema,
     apply: partTexts.apply,
--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -4,6 +4,7 @@
 import { describeHomes, isInHomes } from '@cyclamengate/common/homes';
 import type { Homes, Regions } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { OddValues } from '@cyclamengate/common/newOddValues';
 import { coordinationRecordSchema } from '@cyclamengate/hosts/coordinationRecord';
 import type { CoordinationRecord, Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
 import newHeartbeatOrder from '@cyclamengate/hosts/newHeartbeatOrder';
@@ -46,6 +47,7 @@
   clock: Clock;
   log: EventLog;
   store: Store;
+  oddValues: OddValues;
   host: string;
   incarnation: string;
   failureDomain: string;
@@ -119,7 +121,7 @@
     topic: TOPIC,
     readIntervalMs: () => READ_INTERVAL_MS * readIntervalFactor(),
     apply: newRecordReader({
-      log,
+      oddValues: options.oddValues,
       topic: TOPIC,
       schema: coordinationRecordSchema,
       readFrequent: readHeartbeat,
--- a/apps/host/src/newCrashSharing.ts
+++ b/apps/host/src/newCrashSharing.ts
@@ -2,6 +2,7 @@
 import { MAX_EXCHANGED_CRASHES } from '@cyclamengate/batches/peerRouter';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { OddValues } from '@cyclamengate/common/newOddValues';
 import parseRecord from '@cyclamengate/common/parseRecord';
 import { restore } from '@cyclamengate/common/restore';
 import type { CrashHistory } from '@cyclamengate/engines/newCrashHistory';
@@ -26,6 +27,7 @@
   clock: Clock;
   log: EventLog;
   store: Store;
+  oddValues: OddValues;
   incarnation: string;
   history: CrashHistory;
   peers: Pick<Peers, 'exchangeCrashes'>;
@@ -56,7 +58,7 @@
  * any host.
  */
 const newCrashSharing = (options: CrashSharingOptions) => {
-  const { clock, log, store, incarnation, history, peers, isFresh, isOwner } = options;
+  const { clock, log, store, oddValues, incarnation, history, peers, isFresh, isOwner } = options;
   const writer = newStoreWriter({ clock, log, store, topic: TOPIC, producer: incarnation });
 
   const write = async (crashes: UpstreamCrash[], isDeletion: boolean): Promise<void> => {
@@ -78,8 +80,12 @@
       return;
     }
     const crash = parseCrash(value);
-    if (crash.ok) addReceived(crash.val, 'store');
-    else log.warn('record.unreadable', { topic: TOPIC, offset, problems: crash.val.slice(0, 3) });
+    if (crash.ok) {
+      addReceived(crash.val, 'store');
+      return;
+    }
+    const problems = crash.val.slice(0, 3);
+    oddValues.reject('crashes', 'record.unreadable', { topic: TOPIC, offset, problems });
   };
 
   const follower = newKeyedFollower({
@@ -87,6 +93,8 @@
     log,
     store,
     topic: TOPIC,
+    oddValues,
+    source: 'crashes',
     readIntervalMs: () => READ_INTERVAL_MS * options.readIntervalFactor(),
     readWaitMs: () => READ_WAIT_MS * options.readIntervalFactor(),
     apply,
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -16,6 +16,7 @@
 import newGarbageCollector from '@cyclamengate/common/newGarbageCollector';
 import newMemoryBudget from '@cyclamengate/common/newMemoryBudget';
 import newMetrics from '@cyclamengate/common/newMetrics';
+import newOddValues from '@cyclamengate/common/newOddValues';
 import newSystemClock from '@cyclamengate/common/newSystemClock';
 import newTaskGroup from '@cyclamengate/common/newTaskGroup';
 import type { RunningProgram } from '@cyclamengate/common/startProgram';
@@ -58,6 +59,7 @@
   const clock = newSystemClock();
   const log = newEventLog(host);
   const metrics = newMetrics();
+  const oddValues = newOddValues(clock, log, metrics);
   const store = newHttpStore(settings.store.address);
   const memory = newMemoryBudget({
     clock,
@@ -85,6 +87,7 @@
     clock,
     log,
     store,
+    oddValues,
     host,
     incarnation,
     failureDomain,
@@ -123,6 +126,7 @@
     log,
     memory,
     store,
+    oddValues,
     host,
     incarnation,
     retentionMs,
@@ -155,6 +159,7 @@
     clock,
     log,
     store,
+    oddValues,
     incarnation,
     history: crashHistory,
     peers,
@@ -166,6 +171,7 @@
     clock,
     log,
     store,
+    oddValues,
     settingsView,
     directory,
     evacuations,
--- a/apps/host/tests/followPlatform.test.ts
+++ b/apps/host/tests/followPlatform.test.ts
@@ -1,5 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import { CUSTOMER_KEY, newOperatorSettings } from '@cyclamengate/app-platform-standin/newPlatform';
+import newMetrics from '@cyclamengate/common/newMetrics';
+import newOddValues from '@cyclamengate/common/newOddValues';
 import newDirectory from '@cyclamengate/engines/newDirectory';
 import newEvacuations from '@cyclamengate/engines/newEvacuations';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
@@ -48,6 +50,7 @@
   const newParts = (view: typeof settingsView) => ({
     clock,
     log: silentLog,
+    oddValues: newOddValues(clock, silentLog, newMetrics()),
     settingsView: view,
     directory: newDirectory(clock, silentLog),
     readIntervalFactor: () => readIntervalFactor,
--- a/apps/host/tests/newCrashSharing.test.ts
+++ b/apps/host/tests/newCrashSharing.test.ts
@@ -1,3 +1,5 @@
+import newMetrics from '@cyclamengate/common/newMetrics';
+import newOddValues from '@cyclamengate/common/newOddValues';
 import newCrashHistory from '@cyclamengate/engines/newCrashHistory';
 import type { CrashHistory } from '@cyclamengate/engines/newCrashHistory';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
@@ -23,6 +25,7 @@
       clock,
       log: silentLog,
       store: memory.newView(faults),
+      oddValues: newOddValues(clock, silentLog, newMetrics()),
       incarnation: name,
       history,
       peers: {
--- a/packages/store/src/newKeyedFollower.ts
+++ b/packages/store/src/newKeyedFollower.ts
@@ -1,5 +1,6 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { OddValues, ValueSource } from '@cyclamengate/common/newOddValues';
 import type Store from './Store.js';
 import type { KeyedRecord } from './Store.js';
 
@@ -10,6 +11,9 @@
   log: EventLog;
   store: Store;
   topic: string;
+  oddValues: OddValues;
+  /** What the topic holds, for the counters of values that can't be applied. */
+  source: ValueSource;
   /** Minimum time between two reads, in milliseconds. */
   readIntervalMs: () => number;
   /** How long the store holds a read open for new records, in milliseconds. */
@@ -30,6 +34,7 @@
  */
 const newKeyedFollower = (options: KeyedFollowerOptions) => {
   const { clock, log, store, topic, readIntervalMs, readWaitMs, apply, onRecovered } = options;
+  const { oddValues, source } = options;
   const offsets = new Map<string, number>();
   let next: number | null = null;
   let freshAt = -Infinity;
@@ -39,7 +44,8 @@
     if ((offsets.get(record.key) ?? -1) >= record.offset) return;
     if (record.value === null) offsets.delete(record.key);
     else offsets.set(record.key, record.offset);
-    apply(record);
+    const { key, offset } = record;
+    oddValues.apply(source, { topic, key, offset }, () => apply(record));
   };
 
   /** The record that deleted a key may have been trimmed; only the key's absence shows it then. */
--- a/packages/store/tests/followers.test.ts
+++ b/packages/store/tests/followers.test.ts
@@ -1,5 +1,7 @@
 import { Err } from '@cyclamengate/common/outcome';
 import newSystemClock from '@cyclamengate/common/newSystemClock';
+import newMetrics from '@cyclamengate/common/newMetrics';
+import newOddValues from '@cyclamengate/common/newOddValues';
 import test from 'ava';
 import newKeyedFollower from '../src/newKeyedFollower.js';
 import newMemoryStore, { encodeKeyedBody, newNoFaults } from '../src/newMemoryStore.js';
@@ -79,6 +81,8 @@
     log: silentLog,
     store: memory.newView(),
     topic: 'keyed.servers',
+    oddValues: newOddValues(clock, silentLog, newMetrics()),
+    source: 'upstreams',
     readIntervalMs: () => 0,
     readWaitMs: () => 500,
     apply: ({ key, value }) => {
@@ -98,6 +102,42 @@
   await running;
 });
 
+test('a record whose value breaks the code that applies it costs itself alone', async (t) => {
+  // Guards against one record of another program that ends a host, or stops it from following a topic.
+  const memory = newMemoryStore();
+  const known = new Set<string>();
+  const stop = new AbortController();
+  const metrics = newMetrics();
+  const follower = newKeyedFollower({
+    clock,
+    log: silentLog,
+    store: memory.newView(),
+    topic: 'keyed.servers',
+    oddValues: newOddValues(clock, silentLog, metrics),
+    source: 'upstreams',
+    readIntervalMs: () => 0,
+    readWaitMs: () => 500,
+    apply: ({ key }) => {
+      if (key.startsWith('odd')) throw new RangeError('too deep');
+      known.add(key);
+    },
+  });
+  const put = (...keys: string[]): number =>
+    memory.put(
+      'keyed.servers',
+      keys.map((key) => encodeKeyedBody(key, '1')),
+    );
+  put('one', 'odd-snapshot', 'two');
+  const running = follower.run(stop.signal);
+  await waitUntil(() => known.size === 2);
+  put('odd-tail', 'three');
+  await waitUntil(() => known.size === 3);
+  stop.abort();
+  await running;
+  t.deepEqual([...known].sort(), ['one', 'three', 'two']);
+  t.is(metrics.readCounter('values_broken_of_upstreams'), 2);
+});
+
 test('a follower reads smaller pages when full pages time out', async (t) => {
   // Seventy hosts start at once and read the same topic from its beginning. Pages of one mebibyte
   // take longer than the timeout of a call, so each host would request the same page forever.
