An engine's entry with a figure out of range names no upstream

What these hosts had taken was lost.

Cause: the form of an address was checked, not its range. The HTTP client refuses it when a connection is made, in a call that nothing awaits.

Entries out of range are rejected as unreadable ones are.

--- a/apps/host/tests/oddEntries.process.test.ts
+++ b/apps/host/tests/oddEntries.process.test.ts
@@ -1,6 +1,7 @@
 import { MODEL } from '@cyclamengate/app-platform-standin/newPlatform';
 import { encodeKeyedBody } from '@cyclamengate/store/newMemoryStore';
 import test from 'ava';
+import { request } from 'undici';
 import { batchBody, readAllResults, submitUntilKnown } from './batchHelpers.js';
 import { send, sleep, waitUntil } from './newHosts.js';
 import { newSystem } from './testSystem.js';
@@ -68,6 +69,10 @@
     t.timeout(TEST_TIMEOUT_MS);
     const { platform, system, first, second, close } = await newSystem(1);
     t.teardown(close);
+    const countRejected = async (): Promise<number> => {
+      const text = await (await request(`http://${first.metrics}/metrics`)).body.text();
+      return Number(/^values_unreadable_of_upstreams (\d+)$/m.exec(text)?.[1]);
+    };
     const areAlive = (): boolean => system.hosts.every(({ child }) => child.exitCode === null);
     const putOdd = (): void =>
       texts.forEach((text, index) =>
@@ -84,6 +89,9 @@
     await waitUntil(() => platform.engines.every(({ versions }) => versions.get(MODEL) === 3));
     t.is((await send(first, 'POST', '/lookup/7', { id: 'l1', body: 'x' })).status, 200);
     t.is((await submitUntilKnown(first, 'b1', batchBody('b1', 4, 4))).status, 202);
+    const rejected = first.events.filter(({ event }) => event === 'upstream.unreadable');
+    t.true(rejected.length >= texts.length, 'a line for each');
+    t.true((await countRejected()) >= texts.length, 'and counted');
     const { results } = await readAllResults(second, 'b1');
     t.true(results.every(({ state }) => state === 'completed'));
     t.true(areAlive());
