A refusal reaches a caller that still sends its body on a connection it closes

What callers saw: a caller that closes its connection after the answer (Connection: close, or HTTP/1.0) and still sends a large body when a host refuses it got a reset ('write EPIPE'), often without the refusal; the same for the 202 of a batch that is known already. It sent all of it again.

Cause: the host closed after its answer with bytes unread. It lingered only where the host itself wanted to close.

--- a/apps/host/src/newBatchAcceptance.ts
+++ b/apps/host/src/newBatchAcceptance.ts
@@ -8,11 +8,11 @@
 import storeBatch from '@cyclamengate/batches/storeBatch';
 import assertNever from '@cyclamengate/common/assertNever';
 import type Clock from '@cyclamengate/common/Clock';
-import { sendJson } from '@cyclamengate/common/handler';
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { MemoryBudget, MemoryLease } from '@cyclamengate/common/newMemoryBudget';
 import { announcedBytes } from '@cyclamengate/common/readBody';
+import sendEarlyJson from '@cyclamengate/common/sendEarlyJson';
 import findHomes from '@cyclamengate/gateway/findHomes';
 import { pickService } from '@cyclamengate/gateway/findRoute';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
@@ -165,9 +165,8 @@
     const id = request.requestId ?? '';
     /** Answers at once; the rest of the body is read and discarded. */
     const answer = (refusal: Refusal | null): void => {
-      if (refusal === null) sendJson(response, 202, {});
+      if (refusal === null) sendEarlyJson(response, 202, {});
       else refuse(response, request, id, refusal);
-      incoming.resume();
     };
     const { maxBodyBytes } = effective.settings.limits;
     if (id === '') {
--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -240,8 +240,6 @@
     const reject = (refusal: Refusal): void => {
       logRefusal(caller, refusal, version);
       refuse(response, caller, refusal);
-      // Read and discarded: closing with unread bytes would reset the connection.
-      request.resume();
     };
     const isBatch = route?.kind === 'batch' && caller.method === 'POST';
     if (!effective) reject(notRun('no-settings', NO_SETTINGS_RETRY_MS));
