A held event loop shows: a line of its own, and a histogram

Each host observes every 250 ms how late its own timer is, and says so from 500 ms on ('process.stalled').

--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -20,6 +20,7 @@
 import newSystemClock from '@cyclamengate/common/newSystemClock';
 import newTaskGroup from '@cyclamengate/common/newTaskGroup';
 import type { RunningProgram } from '@cyclamengate/common/startProgram';
+import watchEventLoop from '@cyclamengate/common/watchEventLoop';
 import newAllowedLags from '@cyclamengate/engines/newAllowedLags';
 import newEngineAssigner from '@cyclamengate/engines/newEngineAssigner';
 import newLoads from '@cyclamengate/engines/newLoads';
@@ -317,6 +318,7 @@
   };
 
   const startTasks = (): void => {
+    tasks.start('event loop', (signal) => watchEventLoop({ clock, log, metrics }, signal));
     tasks.start('settings and upstreams', platform.run);
     tasks.start('coordination', coordination.tasks.follow);
     tasks.start('heartbeats', coordination.tasks.sendHeartbeats);
