--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -72,7 +72,8 @@
   /** An unreadable record changes nothing: it says neither that the domain is used nor that not. */
   const applyEvacuation = ({ key, value, offset }: KeyedRecord): void => {
     const failureDomain = key.slice(EVACUATION_PREFIX.length);
-    if (value !== null && !isEvacuationRecord(value)) {
+    const isReadable = value === null || isEvacuationRecord(value);
+    if (failureDomain === '' || !isReadable) {
       oddValues.reject('evacuations', 'evacuation.unreadable', { failureDomain, offset });
       return;
     }
--- a/apps/host/tests/followPlatform.test.ts
+++ b/apps/host/tests/followPlatform.test.ts
@@ -163,6 +163,29 @@
   t.true(evacuations.isEvacuated('detroit'));
 });
 
+test('an evacuation of no domain and settings that cannot be used change nothing', async (t) => {
+  // Guards against a domain without a name that peers are told of, and against settings in force that
+  // end the host with its next connection.
+  const { memory, evacuations, settingsView, waitFor } = newFollower(t);
+  publish(memory, newOperatorSettings(1));
+  memory.put('keyed.op', [
+    encodeKeyedBody('evacuate/', '{}'),
+    encodeKeyedBody(
+      'config',
+      JSON.stringify({ ...newOperatorSettings(9), limits: { 'idle-timeout-ms': -5_000 } }),
+    ),
+    encodeKeyedBody('evacuate/detroit', '{}'),
+  ]);
+  await waitFor(() => evacuations.isEvacuated('detroit'));
+  t.deepEqual(
+    evacuations.all().map(({ failureDomain }) => failureDomain),
+    ['detroit'],
+  );
+  publish(memory, newOperatorSettings(2));
+  await waitFor(() => settingsView.version() === 2);
+  t.is(settingsView.version(), 2);
+});
+
 test('a host of a large fleet does not ask its peers while the store answers', async (t) => {
   // Guards against settings that count as old between two reads, so that all hosts call one another.
   const { clock, settingsView, asked, memory, waitFor } = newFollower(t, 2.5);
--- a/packages/gateway/src/newSettingsView.ts
+++ b/packages/gateway/src/newSettingsView.ts
@@ -19,8 +19,9 @@
 const indexSettings = (settings: OperatorSettings): EffectiveSettings => {
   const routes = new Map<string, Route[]>();
   settings.routes.forEach((route) => {
-    const hostRoutes = routes.get(route.hostName) ?? [];
-    routes.set(route.hostName, [...hostRoutes, route]);
+    const hostRoutes = routes.get(route.hostName);
+    if (hostRoutes) hostRoutes.push(route);
+    else routes.set(route.hostName, [route]);
   });
   routes.forEach((hostRoutes) =>
     hostRoutes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length),
