Records of batches state figures within bounds, and pieces of records are bounded

What was seen: a result whose text has a `count` of 1e9 makes every host that reads it allocate a list of that length, a negative one lists no records, and `bytes` of 9e15 reserve all memory; a topic of any name is created by the read. A batch accepted in 1e308 was kept for good, and each model that another program names grew the counts of all others.

Cause: schemas checked types; sizes were counted in characters.

--- a/apps/host/src/receiveBatch.ts
+++ b/apps/host/src/receiveBatch.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import newBatchParser from '@cyclamengate/adapter/newBatchParser';
 import type { SubmittedBatch } from '@cyclamengate/adapter/newBatchParser';
+import { MAX_ITEMS } from '@cyclamengate/batches/batchRecord';
 import { itemBytes } from '@cyclamengate/batches/metadataBytes';
 import newBatchIntake from '@cyclamengate/batches/newBatchIntake';
 import type { BatchRequests, BatchIntakeOptions } from '@cyclamengate/batches/newBatchIntake';
@@ -8,8 +9,6 @@
 import { Err, Ok } from '@cyclamengate/common/outcome';
 import type { Result } from '@cyclamengate/common/outcome';
 
-/** Every host holds the metadata of all items, and the one that runs them more than that. */
-const MAX_ITEMS = 16_384;
 /** Each byte that arrives is in turn part of a chunk, of a decoded part and of an append. */
 const BUFFERS_OF_CHUNK = 3;
 /** Metadata of the items of one batch. */
--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -1,4 +1,24 @@
 import { z } from 'zod';
+import { MAX_RECORD_BYTES, MAX_RECORDS_PER_APPEND } from './storeLimits.js';
+
+/** Every host holds the metadata of all items, and the one that runs them more than that. */
+export const MAX_ITEMS = 16_384;
+/** Far beyond any text, and what sums and estimates bear. */
+const MAX_EXPECTED_TOKENS = 10_000_000;
+/** Appends of one text or segment. */
+const MAX_RUNS = 1_024;
+/** Versions of the weights under which one text was generated. */
+const MAX_TEXT_VERSIONS = 1_024;
+/** The topics of texts and of requests. */
+const TEXT_TOPIC = /^(texts|requests)-\d{1,2}$/;
+
+/** A sender's estimate, which changes the order of work and nothing else. */
+const expectedTokensSchema = z
+  .number()
+  .transform((tokens) => Math.min(MAX_EXPECTED_TOKENS, Math.max(0, tokens)))
+  .nullable();
+
+const versionsSchema = z.array(z.int()).max(MAX_TEXT_VERSIONS);
 
 /** Request to a scoring service for the score of an item's text. */
 export const scoringCallSchema = z.object({
@@ -20,7 +40,7 @@
    * Number of tokens that the sender expects to be generated: right at the median, often far off
    * for a single item.
    */
-  expectedTokens: z.number().nullable(),
+  expectedTokens: expectedTokensSchema,
   /** Items of one group share a prompt; a trainer uses only complete groups. */
   group: z.string(),
   scoring: scoringCallSchema.nullable(),
@@ -49,7 +69,7 @@
   route: z.string(),
   hostName: z.string(),
   /** Unix time in milliseconds by the accepting host's clock. */
-  acceptedAt: z.number(),
+  acceptedAt: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
   step: z.int().nullable(),
   model: z.string().nullable(),
   /** Oldest version of the weights that may generate tokens of the batch. */
@@ -64,18 +84,28 @@
 /** What decides in which regions a batch may run. */
 export type BatchOwner = Pick<Batch, 'route' | 'customer'>;
 
-/** Consecutive records of a text topic, written in one append. */
-export const textRunSchema = z.object({
-  topic: z.string(),
-  offset: z.int(),
-  count: z.int(),
-  bytes: z.int(),
+const runFieldsSchema = z.object({
+  topic: z.string().regex(TEXT_TOPIC),
+  offset: z.int().min(0),
+  count: z.int().min(1).max(MAX_RECORDS_PER_APPEND),
+  bytes: z.int().min(0),
 });
 
+/** Whether so many bytes make so many records. */
+const isFilled = ({ count, bytes }: Pick<z.infer<typeof runFieldsSchema>, 'count' | 'bytes'>) =>
+  count === Math.max(1, Math.ceil(bytes / MAX_RECORD_BYTES));
+
+const FILLED = 'as many bytes as fill the records';
+
+/** Consecutive records of a text topic, written in one append. */
+export const textRunSchema = runFieldsSchema.refine(isFilled, FILLED);
+
 export type TextRun = z.infer<typeof textRunSchema>;
 
 /** Location of a text in the store. A text that is larger than one append has further runs. */
-export const textPlaceSchema = textRunSchema.extend({ rest: z.array(textRunSchema).optional() });
+export const textPlaceSchema = runFieldsSchema
+  .extend({ rest: z.array(textRunSchema).max(MAX_RUNS).optional() })
+  .refine(isFilled, FILLED);
 
 export type TextPlace = z.infer<typeof textPlaceSchema>;
 
@@ -85,22 +115,27 @@
 export const itemHeadSchema = z.object({
   id: z.string(),
   group: z.string(),
-  expectedTokens: z.number().nullable(),
+  expectedTokens: expectedTokensSchema,
   /** Digest of the request; items with equal digests request the same text. */
   digest: z.string(),
   /** Number of the segment that holds the request. */
-  segment: z.int(),
+  segment: z.int().min(0),
 });
 
 export type ItemHead = z.infer<typeof itemHeadSchema>;
 
 /** A batch without its requests, which are stored separately. */
-export const batchHeadSchema = batchSchema.extend({
-  type: z.literal('batch-head'),
-  items: z.array(itemHeadSchema),
-  /** Locations of the segments that hold the requests, in order. */
-  segments: z.array(textPlaceSchema),
-});
+export const batchHeadSchema = batchSchema
+  .extend({
+    type: z.literal('batch-head'),
+    items: z.array(itemHeadSchema).max(MAX_ITEMS),
+    /** Locations of the segments that hold the requests, in order. */
+    segments: z.array(textPlaceSchema).max(MAX_ITEMS),
+  })
+  .refine(
+    ({ items, segments }) => items.every(({ segment }) => segment < segments.length),
+    'a segment for each item',
+  );
 
 export type BatchHead = z.infer<typeof batchHeadSchema>;
 
@@ -113,7 +148,7 @@
   /** Null if there is no text. */
   text: textPlaceSchema.nullable(),
   /** All versions of the weights that generated an event of the text. */
-  versions: z.array(z.int()),
+  versions: versionsSchema,
   score: z.string().nullable(),
 });
 
@@ -150,11 +185,11 @@
   /** Incarnation of the host's process that writes the part. */
   writer: z.string(),
   /** Number of events in the writer's earlier parts. */
-  from: z.int(),
+  from: z.int().min(0),
   events: z.array(z.string()),
   lastEventId: z.string().nullable(),
   /** Versions of the weights that generated the events so far. */
-  versions: z.array(z.int()),
+  versions: versionsSchema,
   /** Whether the text is complete and only its score is missing. */
   isWhole: z.boolean(),
 });
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -59,7 +59,14 @@
   const sumBytes = (items: Pick<ItemHead, 'id' | 'group'>[]): number =>
     items.reduce((sum, item) => sum + itemBytes(item), 0);
 
-  const add = (batch: Batch | BatchHead, isLogged: boolean): BatchState => {
+  /** A time in the future would keep a batch beyond its retention. */
+  const withPastAcceptance = <T extends Batch | BatchHead>(batch: T): T => {
+    const now = clock.wallTime();
+    return batch.acceptedAt <= now ? batch : { ...batch, acceptedAt: now };
+  };
+
+  const add = (given: Batch | BatchHead, isLogged: boolean): BatchState => {
+    const batch = withPastAcceptance(given);
     const state = newBatchState(batch, isLogged, {
       executorReportedAt: reportedExecutors.has(batch.id) ? clock.now() : -Infinity,
       evictAt: computeEvictionTime(batch),
@@ -75,7 +82,7 @@
     if (known.isLogged) return null;
     known.isLogged = true;
     known.isStored = true;
-    known.batch = batch;
+    known.batch = withPastAcceptance(batch);
     known.segments = batch.type === 'batch-head' ? batch.segments : [];
     // A host may have begun it with other segments than those that the store has.
     if (batch.type === 'batch-head') known.items = mapById(batch.items);
--- a/packages/batches/src/newDemands.ts
+++ b/packages/batches/src/newDemands.ts
@@ -7,6 +7,8 @@
 const MAX_DRIFT_RATIO = 1.3;
 /** A model is idle once another one has had this many steps since its last. */
 const IDLE_AFTER_STEPS = 6;
+/** Models whose demand is followed; the one whose newest step is the oldest is forgotten first. */
+const MAX_MODELS = 256;
 /** Demand of an idle model, relative to the average of the others. */
 const IDLE_SHARE = 1 / 3;
 
@@ -45,6 +47,14 @@
       if (other !== model) stepsOfOthers.set(model, (stepsOfOthers.get(model) ?? 0) + 1);
     });
 
+  /** Steps of models that nobody trains would make the counts grow without end. */
+  const forgetOldest = (): void => {
+    const [oldest] = demands.keys();
+    if (demands.size <= MAX_MODELS || oldest === undefined) return;
+    demands.delete(oldest);
+    demands.forEach(({ stepsOfOthers }) => stepsOfOthers.delete(oldest));
+  };
+
   const settle = (demand: ModelDemand): void => {
     const { averageTokens, stepTokens, tokens } = demand;
     const average =
@@ -87,8 +97,12 @@
           tokens,
           stepsOfOthers: new Map(),
         });
+        forgetOldest();
         return;
       }
+      // Deleted first, so that it becomes the newest entry.
+      demands.delete(model);
+      demands.set(model, known);
       settle(known);
       known.step = step;
       known.stepTokens = tokens;
--- a/packages/batches/src/newPartialTexts.ts
+++ b/packages/batches/src/newPartialTexts.ts
@@ -10,6 +10,11 @@
 export const PARTIAL_TEXT_RETENTION_MS = 30_000;
 /** Texts are some 10 KB each; beyond this size the oldest are evicted and made again. */
 const MAX_CHARACTERS = 8_000_000;
+/** Texts and events may be empty. */
+const MAX_TEXTS = 50_000;
+const MAX_EVENTS = 2_000_000;
+/** The only text that is known may be larger than all may be together, but not without end. */
+const MAX_TEXT_CHARACTERS = 64_000_000;
 
 /** Text of an item as written by its most recent writer. */
 export interface PartialText {
@@ -31,12 +36,25 @@
 const newPartialTexts = (clock: Clock) => {
   const texts = new Map<string, PartialText>();
   let characters = 0;
+  let events = 0;
 
   const remove = (item: string): void => {
-    characters -= texts.get(item)?.characters ?? 0;
+    const text = texts.get(item);
+    if (!text) return;
+    characters -= text.characters;
+    events -= text.progress.events.length;
     texts.delete(item);
   };
 
+  const put = (item: string, text: PartialText): void => {
+    characters += text.characters;
+    events += text.progress.events.length;
+    texts.set(item, text);
+  };
+
+  const isOver = (): boolean =>
+    characters > MAX_CHARACTERS || events > MAX_EVENTS || texts.size > MAX_TEXTS;
+
   const evictOldest = (): void => {
     const [oldest] = texts.keys();
     if (oldest !== undefined) remove(oldest);
@@ -52,16 +70,17 @@
 
   return {
     apply: (part: Part): void => {
-      const { batch, item, writer, from, events, lastEventId, versions, isWhole } = part;
+      const { batch, item, writer, from, lastEventId, versions, isWhole } = part;
       const current = texts.get(item);
       if (from > 0 && !isContinuation(current, part)) return;
       const earlier = from > 0 ? (current?.progress.events ?? []) : [];
-      const progress = { events: [...earlier, ...events], lastEventId, versions };
+      const progress = { events: [...earlier, ...part.events], lastEventId, versions };
       const expiresAt = clock.now() + PARTIAL_TEXT_RETENTION_MS;
       const size = countCharacters(progress);
       remove(item);
-      characters += size;
-      texts.set(item, {
+      const isTooLarge = size > MAX_TEXT_CHARACTERS || progress.events.length > MAX_EVENTS;
+      if (isTooLarge) return;
+      put(item, {
         batch,
         writer,
         progress,
@@ -69,7 +88,7 @@
         expiresAt,
         characters: size,
       });
-      while (characters > MAX_CHARACTERS && texts.size > 1) evictOldest();
+      while (isOver() && texts.size > 1) evictOldest();
     },
     evictExpired,
     get: (item: string): PartialText | undefined => texts.get(item),
--- a/packages/batches/src/newRecordReader.ts
+++ b/packages/batches/src/newRecordReader.ts
@@ -17,7 +17,9 @@
 /** Reassembles and parses the records of a topic, and applies the valid ones. */
 const newRecordReader = <T>(options: RecordReaderOptions<T>) => {
   const { oddValues, topic, schema, readFrequent = () => null, apply } = options;
-  const assemble = newRecordAssembler();
+  const assemble = newRecordAssembler((reason) =>
+    oddValues.reject(topic, 'record.pieces-dropped', { topic, reason }),
+  );
 
   const applyValid = (raw: unknown, offset: number): void => {
     const restored = restore(schema, raw);
--- a/packages/batches/src/textRecords.ts
+++ b/packages/batches/src/textRecords.ts
@@ -1,9 +1,5 @@
 import type { TextPlace, TextRun } from './batchRecord.js';
-
-/** The store limits records to 262,144 bytes. */
-const MAX_RECORD_BYTES = 250_000;
-/** Records of one append; the store limits the records of a call to 2 MiB. */
-const MAX_RECORDS_PER_APPEND = 4;
+import { MAX_RECORD_BYTES, MAX_RECORDS_PER_APPEND } from './storeLimits.js';
 
 /** Bytes of a text that one append holds at most. */
 export const MAX_APPEND_TEXT_BYTES = MAX_RECORD_BYTES * MAX_RECORDS_PER_APPEND;
