A batch whose requests can't be read ends by its retention and leaves room

What trainers saw: a batch whose only segment can't be read, or is none, had no result for good, not even an abandoned one: its items were never taken up. An item that its segment lacks was asked for ten times a second, with a read of the store and a line each; a large segment without the item leaked its memory. Batches of another program whose route doesn't exist could take all 20,000 places of a host, and no other batch ran there.

Change: expired batches are taken up without their requests, and their items abandoned, as are complete texts whose score can't be asked for. Reads that fail are repeated after 0.1 s to 2 s. Items of a route that does not exist take no place. A segment whose index points beyond its bodies is none.

--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -210,7 +210,7 @@
   /** Resumes items whose text is complete, as far as the view and the log currently allow it. */
   const finishCompleted = (): void =>
     tasks.all().forEach((task) => {
-      if (task.phase === 'unscored') score(task);
+      if (task.phase === 'unscored' && !abandonExpired(task)) score(task);
       if (task.phase === 'unwritten') resume(task);
     });
 
@@ -232,10 +232,14 @@
 
   const tick = (): void => {
     takeovers.reconcile();
+    // Requests that can't be read hold a batch up only for as long as it may be kept.
     const assigned = batches
       .open()
-      .filter((state) => isAssigned(state) && requests.isLoaded(state));
-    tasks.reconcile(assigned);
+      .filter(
+        (state) =>
+          isAssigned(state) && (requests.isLoaded(state) || isExpired(state, routeOf(state))),
+      );
+    tasks.reconcile(assigned, (state) => routeOf(state) !== undefined);
     // First, so that a long item that runs may get the last fast slot before waiting ones start.
     mover.moveToFaster();
     startWork();
--- a/packages/batches/src/newItemRunner.ts
+++ b/packages/batches/src/newItemRunner.ts
@@ -34,7 +34,7 @@
   refusals: Pick<Refusals, 'record' | 'clear'>;
   reservations: Pick<Reservations, 'release'>;
   repeats: RepeatCounter;
-  requests: Pick<RequestReader, 'load'>;
+  requests: Pick<RequestReader, 'load' | 'retryAt'>;
 }
 
 /** Runs an item once on an engine, and handles the end of the run. */
@@ -111,7 +111,10 @@
       });
     const end: RunEnd = loaded
       ? await run(loaded.request, room.hold)
-      : { type: 'unread', retryAt: clock.now() + UNREAD_RETRY_MS };
+      : {
+          type: 'unread',
+          retryAt: Math.max(clock.now() + UNREAD_RETRY_MS, requests.retryAt(state, item.id)),
+        };
     loaded?.release();
     room?.end(end.type === 'whole');
     if (end.type === 'no-room') dropText(task);
--- a/packages/batches/src/newRequestReader.ts
+++ b/packages/batches/src/newRequestReader.ts
@@ -14,8 +14,12 @@
 const READ_TIMEOUT_MS = 700;
 /** Rate at which a segment is read at least, over a slow link that others share. */
 const MIN_BYTES_PER_MS = 1_000;
-/** Delay before a failed read is retried. */
+/** Delay before a failed read is retried; doubles with each further one. */
 const RETRY_DELAY_MS = 100;
+/** An item has to run within 5 s of calm. */
+const MAX_RETRY_DELAY_MS = 2_000;
+/** Segments of which failed reads are remembered; of batches that were evicted they aren't forgotten. */
+const MAX_FAILED_SEGMENTS = 10_000;
 /** The records of a run are held beside the bytes that they are joined to. */
 const COPIES_WHILE_READING = 2;
 
@@ -32,6 +36,8 @@
   lease: MemoryLease;
 }
 
+const segmentKey = ({ batch }: BatchState, number: number): string => `${batch.id}/${number}`;
+
 export interface RequestReaderOptions {
   clock: Clock;
   log: EventLog;
@@ -57,7 +63,18 @@
 const newRequestReader = ({ clock, log, memory, readTexts }: RequestReaderOptions) => {
   const cache = newSegmentCache(memory);
   const pendingReads = new Map<string, Promise<ReadSegment | null>>();
-  const retryAt = new Map<string, number>();
+  /** By segment: reads that failed in a row, and when it may be read again. */
+  const failedReads = new Map<string, { count: number; retryAt: number }>();
+
+  const recordFailedRead = (key: string): void => {
+    const count = (failedReads.get(key)?.count ?? 0) + 1;
+    const delayMs = Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * 2 ** (count - 1));
+    failedReads.set(key, { count, retryAt: clock.now() + delayMs });
+    const [oldest] = failedReads.keys();
+    if (failedReads.size > MAX_FAILED_SEGMENTS && oldest !== undefined) failedReads.delete(oldest);
+  };
+
+  const retryAt = (key: string): number => failedReads.get(key)?.retryAt ?? -Infinity;
 
   const isCacheable = (place: TextPlace): boolean => textBytes(place) <= cache.maxBytes;
 
@@ -98,11 +115,11 @@
     const segment = await readSegment(place);
     pendingReads.delete(key);
     if (segment === null) {
-      retryAt.set(key, clock.now() + RETRY_DELAY_MS);
+      recordFailedRead(key);
       log.warn('batch.requests-unread', { segment: key, bytes: textBytes(place) });
       return null;
     }
-    retryAt.delete(key);
+    failedReads.delete(key);
     // No item of an ended batch runs, so retaining its requests would only use memory.
     if (state.isEnded || !isCacheable(place)) return segment;
     cache.put(key, { ...segment, bytes: textBytes(place) });
@@ -110,11 +127,11 @@
   };
 
   const startRead = (state: BatchState, number: number): Promise<ReadSegment | null> => {
-    const key = `${state.batch.id}/${number}`;
+    const key = segmentKey(state, number);
     const pendingRead = pendingReads.get(key);
     if (pendingRead) return pendingRead;
     const place = state.segments[number];
-    const isTooSoon = clock.now() < (retryAt.get(key) ?? -Infinity);
+    const isTooSoon = clock.now() < retryAt(key);
     if (!place || isTooSoon) return Promise.resolve(null);
     const started = read(key, state, place);
     // Each reader of a large segment holds one of its own, and gives it back by itself.
@@ -128,14 +145,28 @@
     return lease && { request: copyRequest(request), release: lease.release };
   };
 
+  /** A segment that was read and lacks an item will not have it later. */
+  const reportMissing = (key: string, id: string): null => {
+    log.warn('batch.request-missing', { segment: key, requestId: id });
+    recordFailedRead(key);
+    return null;
+  };
+
   const loadFromStore = async (state: BatchState, id: string): Promise<LoadedRequest | null> => {
     const number = state.items.get(id)?.segment ?? 0;
+    const key = segmentKey(state, number);
     const place = state.segments[number];
-    const cached = cache.get(`${state.batch.id}/${number}`)?.get(id);
-    if (cached) return lend(cached);
+    const cached = cache.get(key);
+    const found = cached?.get(id);
+    if (found) return lend(found);
+    if (cached) return reportMissing(key, id);
     const segment = await startRead(state, number);
     const request = segment?.items.get(id);
-    if (!segment || !request || !place) return null;
+    if (!segment || !place) return null;
+    if (!request) {
+      if (!cache.has(key)) segment.lease.release();
+      return reportMissing(key, id);
+    }
     if (!isCacheable(place)) return { request, release: segment.lease.release };
     const lent = lend(request);
     // Others that waited for the same read have copies as well.
@@ -147,7 +178,7 @@
     state: BatchState,
     number: number,
   ): Promise<ReadonlyMap<string, ItemRequest> | null> =>
-    cache.get(`${state.batch.id}/${number}`) ?? (await startRead(state, number))?.items ?? null;
+    cache.get(segmentKey(state, number)) ?? (await startRead(state, number))?.items ?? null;
 
   /** All items of a batch as they are handed to another host; null if they can't be now. */
   const loadAll = async (state: BatchState): Promise<Item[] | null> => {
@@ -169,14 +200,20 @@
     isLoaded: (state: BatchState): boolean => {
       const [place, ...others] = state.segments;
       if (state.requests || others.length > 0) return true;
-      if (!place || cache.has(`${state.batch.id}/0`)) return place !== undefined;
+      if (!place || cache.has(segmentKey(state, 0))) return place !== undefined;
       if (!isCacheable(place)) return true;
       startRead(state, 0);
       return false;
     },
     /** Discards the requests of a batch that has ended or of which all items are finished. */
-    forget: ({ batch, segments }: BatchState): void =>
-      segments.forEach((_, number) => cache.remove(`${batch.id}/${number}`)),
+    forget: (state: BatchState): void =>
+      state.segments.forEach((_, number) => {
+        cache.remove(segmentKey(state, number));
+        failedReads.delete(segmentKey(state, number));
+      }),
+    /** When the request of an item may be read again after a failed read, on the monotonic clock. */
+    retryAt: (state: BatchState, id: string): number =>
+      retryAt(segmentKey(state, state.items.get(id)?.segment ?? 0)),
     /** The request of an item; null if it can't be read, or held, now. */
     load: async (state: BatchState, id: string): Promise<LoadedRequest | null> => {
       const held = state.requests?.get(id);
--- a/packages/batches/src/newTaskList.ts
+++ b/packages/batches/src/newTaskList.ts
@@ -204,14 +204,18 @@
   return {
     /**
      * Reconciles the tasks with the batches that are assigned to this host.
+     * @param canRun whether items of a batch could run; others take no room until they can
      * @returns the new tasks
      */
-    reconcile: (assigned: BatchState[]): ItemTask[] => {
+    reconcile: (
+      assigned: BatchState[],
+      canRun: (state: BatchState) => boolean = () => true,
+    ): ItemTask[] => {
       const wanted = new Set(assigned);
       [...tasks.values()]
         .filter(({ state, item }) => !wanted.has(state) || state.finished.has(item.id))
         .forEach(endTask);
-      return assigned.flatMap(addMissing);
+      return assigned.filter(canRun).flatMap(addMissing);
     },
     all: (): ItemTask[] => [...tasks.values()],
     get: (key: string): ItemTask | undefined => tasks.get(key),
--- a/packages/batches/src/requestSegment.ts
+++ b/packages/batches/src/requestSegment.ts
@@ -1,14 +1,14 @@
 import parseJson from '@cyclamengate/common/parseJson';
 import { restore } from '@cyclamengate/common/restore';
 import { z } from 'zod';
-import { itemFieldsSchema } from './batchRecord.js';
+import { MAX_ITEMS, itemFieldsSchema } from './batchRecord.js';
 import type { Item, ItemRequest } from './batchRecord.js';
 
 /** Bytes at the end of a segment that hold the length of its index. */
 const LENGTH_BYTES = 4;
 
 /** Where a body stands within a segment. */
-const rangeSchema = z.object({ start: z.int(), bytes: z.int() });
+const rangeSchema = z.object({ start: z.int().min(0), bytes: z.int().min(0) });
 
 export type BodyRange = z.infer<typeof rangeSchema>;
 
@@ -17,7 +17,7 @@
 /** An item of a segment: its fields, and where its bodies stand. */
 export type SegmentEntry = z.infer<typeof entrySchema>;
 
-const indexSchema = z.array(entrySchema);
+const indexSchema = z.array(entrySchema).max(MAX_ITEMS);
 
 /** Formats the end of a segment, which tells what its bytes are. */
 export const formatIndex = (entries: SegmentEntry[]): Buffer => {
@@ -48,7 +48,12 @@
   const raw = parseJson(segment.subarray(indexStart, indexEnd).toString());
   if (!raw.ok) return null;
   const restored = restore(indexSchema, raw.val);
-  return restored.ok ? restored.val.map((entry) => restoreItem(segment, entry)) : null;
+  if (!restored.ok) return null;
+  const isWithin = ({ start, bytes }: BodyRange): boolean => start + bytes <= indexStart;
+  const isWhole = restored.val.every(
+    ({ body, scoringBody }) => isWithin(body) && isWithin(scoringBody),
+  );
+  return isWhole ? restored.val.map((entry) => restoreItem(segment, entry)) : null;
 };
 
 /** The request of an item that is held as it was handed from host to host. */
