Odd records of crashes hold no request

What callers would see: a crash that says it happens tomorrow never expires in the store, and each host that starts holds the request anew, for 15 minutes a time. A record under the key of another crash is not taken back when the request is answered. Crashes of one request without a bound are copied with each new one; a key of more than 255 bytes is written with a wrong length, under another key.

Change: digest and upstream as a key can hold them, times within 15 minutes of now, weights as before; a record whose key isn't that of its value is odd; 64 crashes a request at most; what no key can hold is not written, with a line.

Evidence: both new tests of newCrashSharing.test.ts fail without the change (by the timeout of 30 s) and pass.

--- a/apps/host/src/newCrashSharing.ts
+++ b/apps/host/src/newCrashSharing.ts
@@ -40,6 +40,8 @@
 }
 
 const KEY_SEPARATOR = '/';
+/** The length of a key is stored in one byte. */
+const MAX_KEY_BYTES = 255;
 
 const formatKey = ({ digest, upstream }: UpstreamCrash): string =>
   `${digest}${KEY_SEPARATOR}${upstream}`;
@@ -61,7 +63,15 @@
   const { clock, log, store, oddValues, incarnation, history, peers, isFresh, isOwner } = options;
   const writer = newStoreWriter({ clock, log, store, topic: TOPIC, producer: incarnation });
 
-  const write = async (crashes: UpstreamCrash[], isDeletion: boolean): Promise<void> => {
+  const write = async (given: UpstreamCrash[], isDeletion: boolean): Promise<void> => {
+    const crashes = given.filter((crash) => Buffer.byteLength(formatKey(crash)) <= MAX_KEY_BYTES);
+    if (crashes.length < given.length) {
+      log.warn('crashes.unwritten', {
+        count: given.length - crashes.length,
+        outcome: 'key too long',
+      });
+    }
+    if (crashes.length === 0) return;
     const records = crashes.map((crash) =>
       store.encodeKeyed(formatKey(crash), isDeletion ? null : Buffer.from(JSON.stringify(crash))),
     );
@@ -80,12 +90,16 @@
       return;
     }
     const crash = parseCrash(value);
-    if (crash.ok) {
-      addReceived(crash.val, 'store');
+    if (!crash.ok) {
+      const problems = crash.val.slice(0, 3);
+      oddValues.reject('crashes', 'record.unreadable', { topic: TOPIC, offset, problems });
       return;
     }
-    const problems = crash.val.slice(0, 3);
-    oddValues.reject('crashes', 'record.unreadable', { topic: TOPIC, offset, problems });
+    // Its deletion by another key would not take it back.
+    const reason = formatKey(crash.val) === key ? null : 'key of another crash';
+    const fault = history.isFromFuture(crash.val) ? 'in the future' : reason;
+    if (fault === null) addReceived(crash.val, 'store');
+    else oddValues.reject('crashes', 'record.unreadable', { topic: TOPIC, offset, reason: fault });
   };
 
   const follower = newKeyedFollower({
@@ -116,9 +130,10 @@
   const deleteExpired = async (signal: AbortSignal): Promise<void> => {
     const snapshot = await store.newest(TOPIC, signal);
     if (!snapshot.ok) return;
-    const expired = snapshot.val.records.flatMap(({ value }) => {
+    const expired = snapshot.val.records.flatMap(({ key, value }) => {
       const crash = value && parseCrash(value);
-      return crash?.ok && history.isExpired(crash.val) ? [crash.val] : [];
+      const isExpired = crash?.ok && formatKey(crash.val) === key && history.isExpired(crash.val);
+      return isExpired ? [crash.val] : [];
     });
     if (expired.length > 0) await write(expired, true);
   };
--- a/apps/host/tests/newCrashSharing.test.ts
+++ b/apps/host/tests/newCrashSharing.test.ts
@@ -123,6 +123,56 @@
   t.deepEqual(second.history.upstreamsOf('deadly'), ['a@1']);
 });
 
+test('odd records of crashes hold no request and keep no other from being read', async (t) => {
+  // Guards against a request that every new host holds for good, a host that is busy for minutes with
+  // the crashes of one request, and keys that the store can't have.
+  const { clock, memory, startHost } = newSystem(t);
+  const put = (key: string, value: string): void => {
+    memory.put('keyed.crashes', [encodeKeyedBody(key, value)]);
+  };
+  const crashText = (fields: Record<string, unknown>): string =>
+    JSON.stringify({ digest: 'held', upstream: 'a@1', endedAt: clock.wallTime(), ...fields });
+  const nested = `${'['.repeat(100_000)}${']'.repeat(100_000)}`;
+  put('held/a@1', crashText({ endedAt: clock.wallTime() + 86_400_000 }));
+  put('held/b@1', crashText({ upstream: 'b@1', endedAt: 1e308 }));
+  put('held/c@1', crashText({ upstream: 'c@1', endedAt: -1 }));
+  put('held/d@1', crashText({ upstream: 'd@1', weight: 1e308 }));
+  put('other/e@1', crashText({ upstream: 'e@1' }));
+  put('held/x/f@1', crashText({ digest: 'held/x', upstream: 'f@1' }));
+  put('held/g@1', crashText({ upstream: 'g'.repeat(100_000) }));
+  put('held/h@1', nested);
+  put('held/i@1', '{"digest":"held","upstream":"i@1","endedAt":1e999}');
+  Array.from({ length: 3_000 }, (_, index) =>
+    put(`often/${index}@1`, crashText({ digest: 'often', upstream: `${index}@1` })),
+  );
+  put('deadly/z@1', crashText({ digest: 'deadly', upstream: 'z@1' }));
+  const host = startHost('host', true);
+  await waitFor(clock, () => host.history.size() === 2);
+  await clock.advance(1_000);
+  t.is(host.history.heldUntil('held'), null);
+  t.deepEqual(host.history.upstreamsOf('held'), []);
+  t.deepEqual(host.history.upstreamsOf('deadly'), ['z@1']);
+  t.true(host.history.upstreamsOf('often').length <= 64);
+  const late = startHost('late');
+  await waitFor(clock, () => late.history.size() === 2);
+  t.deepEqual(late.history.upstreamsOf('held'), []);
+  const keys = (): string[] => memory.newest('keyed.crashes').records.map(({ key }) => key);
+  await waitFor(clock, () => !keys().includes('held/a@1'));
+  t.true(keys().includes('deadly/z@1'));
+});
+
+test('a crash whose key would be too long is not written under another key', async (t) => {
+  // Guards against a record that overwrites or deletes that of another crash.
+  const { clock, memory, startHost } = newSystem(t);
+  const host = startHost('host');
+  addCrash(clock, host, `${'u'.repeat(260)}@1`);
+  addCrash(clock, host, 'a@1');
+  await waitFor(clock, () => memory.newest('keyed.crashes').records.length > 0);
+  host.history.recordAnswer('deadly');
+  await waitFor(clock, () => memory.newest('keyed.crashes').records.length === 0);
+  t.is(memory.newest('keyed.crashes').end, 2);
+});
+
 test('expired crashes are deleted from the store, also those of hosts that are gone', async (t) => {
   const { clock, memory, startHost } = newSystem(t);
   const gone = { digest: 'deadly', upstream: 'a/1@1', endedAt: clock.wallTime() - 900_000 };
--- a/packages/engines/src/newCrashHistory.ts
+++ b/packages/engines/src/newCrashHistory.ts
@@ -7,6 +7,8 @@
 const SUSPECT_WEIGHT = 1;
 /** Number of requests that are remembered; the oldest is forgotten first. */
 const MAX_REQUESTS = 1_024;
+/** Many times the crashes after which a request is not tried again. */
+const MAX_CRASHES_PER_REQUEST = 64;
 
 /** How long a request may be held at most, in milliseconds. */
 interface HoldLimit {
@@ -57,8 +59,12 @@
     return { crash, endedAt: clock.now() - ageMs };
   };
 
-  const isExpired = ({ endedAt }: RememberedCrash): boolean =>
-    clock.now() >= endedAt + RETENTION_MS;
+  /** No clock is ahead by so much; such a crash would hold a request at every new host for good. */
+  const isFromFuture = ({ endedAt }: UpstreamCrash): boolean =>
+    endedAt > clock.wallTime() + RETENTION_MS;
+
+  const isExpired = ({ crash, endedAt }: RememberedCrash): boolean =>
+    clock.now() >= endedAt + RETENTION_MS || isFromFuture(crash);
 
   const remove = (digest: string, upstream: string): void => {
     const history = histories.get(digest);
@@ -104,6 +110,8 @@
     const known = history?.crashes.get(crash.upstream)?.crash;
     const isKnown = known !== undefined && known.weight >= crash.weight;
     if (isKnown || isExpired(remembered)) return false;
+    if (known === undefined && (history?.crashes.size ?? 0) >= MAX_CRASHES_PER_REQUEST)
+      return false;
     const crashes = new Map([...(history?.crashes ?? []), [crash.upstream, remembered]]);
     // Deleted first, so that it becomes the newest entry.
     histories.delete(crash.digest);
@@ -136,6 +144,8 @@
     onAnswered: (listener: (crashes: UpstreamCrash[]) => void): void => {
       answeredListeners.push(listener);
     },
+    /** Whether a crash is said to happen later than any clock says that it is. */
+    isFromFuture,
     /** Whether a crash is too old to be remembered. */
     isExpired: (crash: UpstreamCrash): boolean => isExpired(remember(crash)),
     /** Forgets the crashes that are too old. */
--- a/packages/engines/src/upstreamCrash.ts
+++ b/packages/engines/src/upstreamCrash.ts
@@ -5,14 +5,23 @@
 
 export type RequestWork = z.infer<typeof requestWorkSchema>;
 
+const MAX_DIGEST_LENGTH = 64;
+const MAX_UPSTREAM_LENGTH = 300;
+
 /** An upstream that ended while it ran a request. */
 export const upstreamCrashSchema = z.object({
   /** Digest of the request. */
-  digest: z.string(),
+  digest: z
+    .string()
+    .regex(/^[\w.-]+$/)
+    .max(MAX_DIGEST_LENGTH),
   /** Identifies the incarnation of the upstream. */
-  upstream: z.string(),
+  upstream: z
+    .string()
+    .regex(/^[\x21-\x7e]+$/)
+    .max(MAX_UPSTREAM_LENGTH),
   /** Unix time in milliseconds, by the clock of the host that ran the request. */
-  endedAt: z.number(),
+  endedAt: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
   /** How much the crash counts against the request, from 0 to 1. */
   weight: z.number().min(0).max(1).default(1),
   work: requestWorkSchema.default('call'),
