An odd answer of the store fails its call and stops no reader

A keyed record shorter than its key says read as the deletion of another key, such as an engine's.

A record that is no keyed one has its line and counter.

--- a/packages/batches/tests/newSlowStore.ts
+++ b/packages/batches/tests/newSlowStore.ts
@@ -61,7 +61,7 @@
       return store.encodeKeyed(key, value);
     }
 
-    parseKeyed(record: StoredRecord): KeyedRecord {
+    parseKeyed(record: StoredRecord): KeyedRecord | null {
       return store.parseKeyed(record);
     }
   }
--- a/packages/store/src/Store.ts
+++ b/packages/store/src/Store.ts
@@ -72,6 +72,6 @@
   /** Encodes a record of a keyed topic; a null value deletes the key. */
   abstract encodeKeyed(key: string, value: Buffer | null): Buffer;
 
-  /** Splits a record of a keyed topic into its key and value. */
-  abstract parseKeyed(record: StoredRecord): KeyedRecord;
+  /** Splits a record of a keyed topic into its key and value; null if it is none. */
+  abstract parseKeyed(record: StoredRecord): KeyedRecord | null;
 }
--- a/packages/store/src/newKeyedFollower.ts
+++ b/packages/store/src/newKeyedFollower.ts
@@ -2,7 +2,7 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { OddValues, ValueSource } from '@cyclamengate/common/newOddValues';
 import type Store from './Store.js';
-import type { KeyedRecord } from './Store.js';
+import type { KeyedRecord, StoredRecord } from './Store.js';
 
 const RETRY_DELAY_MS = 100;
 
@@ -39,6 +39,8 @@
   let next: number | null = null;
   let freshAt = -Infinity;
   let isUnavailable = false;
+  /** Whether a read has succeeded from where the newest snapshot ended. */
+  let hasReadTail = false;
 
   const applyIfNewer = (record: KeyedRecord): void => {
     if ((offsets.get(record.key) ?? -1) >= record.offset) return;
@@ -48,6 +50,17 @@
     oddValues.apply(source, { topic, key, offset }, () => apply(record));
   };
 
+  const applyRecord = (record: StoredRecord): void => {
+    const keyed = store.parseKeyed(record);
+    if (keyed) applyIfNewer(keyed);
+    else
+      oddValues.reject(source, 'record.unreadable', {
+        topic,
+        offset: record.offset,
+        reason: 'key',
+      });
+  };
+
   /** The record that deleted a key may have been trimmed; only the key's absence shows it then. */
   const deleteMissing = (presentKeys: Set<string>, end: number): void =>
     [...offsets].forEach(([key, offset]) => {
@@ -63,6 +76,7 @@
     deleteMissing(new Set(records.map(({ key }) => key)), end);
     log.info('store.snapshot', { topic, keys: records.length, end });
     next = end;
+    hasReadTail = false;
     freshAt = requestedAt;
     return true;
   };
@@ -71,18 +85,25 @@
     const requestedAt = clock.now();
     const page = await store.read(topic, from, readWaitMs(), signal);
     if (!page.ok) {
-      if (page.val.type !== 'expired') return false;
+      if (page.val.type !== 'expired') {
+        // The snapshot may have stated an end that the topic doesn't have.
+        if (!hasReadTail) next = null;
+        return false;
+      }
       log.warn('store.history-gone', { topic, from, first: page.val.first });
       next = null;
       return true;
     }
     const { records, end } = page.val;
+    // A store that has records returns some.
+    if (records.length === 0 && end > from) return false;
     if (records[0] && records[0].offset > from) {
       log.warn('store.history-gap', { topic, from, found: records[0].offset });
       next = null;
       return true;
     }
-    records.map((record) => store.parseKeyed(record)).forEach(applyIfNewer);
+    records.forEach(applyRecord);
+    hasReadTail = true;
     next = (records.at(-1)?.offset ?? from - 1) + 1;
     if (next >= end) freshAt = requestedAt;
     return true;
--- a/packages/store/src/newMemoryStore.ts
+++ b/packages/store/src/newMemoryStore.ts
@@ -49,6 +49,10 @@
   appendsToDelay: 0,
 });
 
+/** Whether a body is as long as the length of its key says. */
+const isKeyedBody = (body: Buffer): boolean =>
+  body.length >= 1 + (body[0] ?? Number.POSITIVE_INFINITY);
+
 const parseKeyedBody = (body: Buffer): { key: string; value: Buffer | null } => {
   const length = body[0] ?? 0;
   const value = body.subarray(1 + length);
@@ -146,6 +150,7 @@
     const topic = getOrCreateTopic(name);
     const byKey = new Map<string, KeyedRecord>();
     topic.records.forEach(({ offset, body }) => {
+      if (!isKeyedBody(body)) return;
       const { key, value } = parseKeyedBody(body);
       if (value === null) byKey.delete(key);
       else byKey.set(key, { key, offset, value });
@@ -216,8 +221,8 @@
         return encodeKeyedBody(key, value?.toString() ?? '');
       }
 
-      parseKeyed({ offset, body }: StoredRecord): KeyedRecord {
-        return { offset, ...parseKeyedBody(body) };
+      parseKeyed({ offset, body }: StoredRecord): KeyedRecord | null {
+        return isKeyedBody(body) ? { offset, ...parseKeyedBody(body) } : null;
       }
     }
     return new MemoryStore();
--- a/packages/store/src/newTopicFollower.ts
+++ b/packages/store/src/newTopicFollower.ts
@@ -44,6 +44,8 @@
 const newTopicFollower = (options: TopicFollowerOptions) => {
   const { clock, log, store, topic, readIntervalMs = () => 0, apply, onCaughtUp, onGap } = options;
   let next = 0;
+  /** Where reading goes on if nothing can be read after expired records; null once it can. */
+  let nextBeforeGap: number | null = null;
   let freshAt = -Infinity;
   /** When the newest outage ended. */
   let lastOutageEndedAt = -Infinity;
@@ -86,8 +88,15 @@
 
   const readOnce = async (waitMs: number, signal?: AbortSignal): Promise<boolean> => {
     const requestedAt = clock.now();
-    const page = await store.read(topic, next, waitMs, signal, pageKb);
+    const from = next;
+    const page = await store.read(topic, from, waitMs, signal, pageKb);
+    // A store that has records returns some; asking at once again would go on without a pause.
+    if (page.ok && page.val.records.length === 0 && page.val.end > from) {
+      recordFailure('no-records');
+      return false;
+    }
     if (page.ok) {
+      nextBeforeGap = null;
       recordRecovery();
       pageKb = Math.min(MAX_PAGE_KB, pageKb + PAGE_GROWTH_KB);
       applyNew(page.val.records);
@@ -103,10 +112,14 @@
     }
     if (page.val.type === 'expired' && page.val.first > next) {
       log.warn('store.history-gone', { topic, from: next, first: page.val.first });
+      nextBeforeGap = next;
       next = page.val.first;
       onGap?.();
       return true;
     }
+    // The store may have stated a first record that it doesn't have.
+    next = nextBeforeGap ?? next;
+    nextBeforeGap = null;
     pageKb = Math.max(MIN_PAGE_KB, pageKb / 2);
     recordFailure(page.val.type);
     return false;
--- a/packages/store/tests/followers.test.ts
+++ b/packages/store/tests/followers.test.ts
@@ -1,4 +1,4 @@
-import { Err } from '@cyclamengate/common/outcome';
+import { Err, Ok } from '@cyclamengate/common/outcome';
 import newSystemClock from '@cyclamengate/common/newSystemClock';
 import newMetrics from '@cyclamengate/common/newMetrics';
 import newOddValues from '@cyclamengate/common/newOddValues';
@@ -6,9 +6,11 @@
 import newKeyedFollower from '../src/newKeyedFollower.js';
 import newMemoryStore, { encodeKeyedBody, newNoFaults } from '../src/newMemoryStore.js';
 import newTopicFollower from '../src/newTopicFollower.js';
+import type Store from '../src/Store.js';
 import silentLog from './silentLog.js';
 
 const clock = newSystemClock();
+const TEST_TIMEOUT_MS = 20_000;
 
 const waitUntil = async (isTrue: () => boolean): Promise<void> => {
   while (!isTrue()) await clock.sleepUntil(clock.now() + 5);
@@ -199,3 +201,117 @@
   t.true(await follower.catchUp(clock.now() + 1_000));
   t.true(follower.lastOutageEndedAt() > first + 1_300);
 });
+
+/** A store of which the test changes the answers. */
+const newOddStore = (changes: Partial<Store>) => {
+  const memory = newMemoryStore();
+  const sound = memory.newView();
+  const store = Object.assign(memory.newView(), changes);
+  return { memory, sound, store };
+};
+
+test('an odd first record that a store states is not where a follower goes on for good', async (t) => {
+  // Guards against a host that reads no batch any more after one odd answer.
+  t.timeout(TEST_TIMEOUT_MS);
+  let oddAnswers = 1;
+  const { memory, sound, store } = newOddStore({
+    read: async (topic, from, ...rest) => {
+      oddAnswers -= 1;
+      if (oddAnswers >= 0) return Err({ type: 'expired', first: 9_000_000_000 });
+      if (from > 3) return Err({ type: 'unknown', reason: 'unreadable' });
+      return sound.read(topic, from, ...rest);
+    },
+  });
+  memory.put(
+    'batches',
+    ['a', 'b', 'c'].map((text) => Buffer.from(text)),
+  );
+  const applied: string[] = [];
+  const follower = newTopicFollower({
+    clock,
+    log: silentLog,
+    store,
+    topic: 'batches',
+    apply: (records) => records.forEach(({ body }) => applied.push(body.toString())),
+  });
+  t.true(await follower.catchUp(clock.now() + 5_000));
+  t.deepEqual(applied, ['a', 'b', 'c']);
+});
+
+test('a store that has records and returns none is asked again after a pause', async (t) => {
+  // Guards against a host that asks as often as the store answers.
+  let calls = 0;
+  const { store } = newOddStore({
+    read: async () => {
+      calls += 1;
+      return Ok({ end: 5, first: 0, records: [] });
+    },
+  });
+  const stop = new AbortController();
+  const follower = newTopicFollower({
+    clock,
+    log: silentLog,
+    store,
+    topic: 'batches',
+    apply: () => {},
+  });
+  const running = follower.run(stop.signal);
+  await clock.sleepUntil(clock.now() + 500);
+  stop.abort();
+  await running;
+  t.true(calls < 20, `${calls} calls`);
+});
+
+test('an odd end of a snapshot is not where a follower goes on for good', async (t) => {
+  // Guards against a host that learns of no engine and no settings any more after one odd answer, and
+  // against a record that is no keyed one.
+  t.timeout(TEST_TIMEOUT_MS);
+  let oddAnswers = 1;
+  const { memory, sound, store } = newOddStore({
+    newest: async (topic) => {
+      oddAnswers -= 1;
+      const snapshot = await sound.newest(topic);
+      return snapshot.ok && oddAnswers >= 0
+        ? Ok({ ...snapshot.val, end: 9_000_000_000 })
+        : snapshot;
+    },
+    read: async (topic, from, ...rest) =>
+      from > 100
+        ? Err({ type: 'unknown', reason: 'unreadable' })
+        : sound.read(topic, from, ...rest),
+  });
+  const known = new Map<string, string | null>();
+  const metrics = newMetrics();
+  const stop = new AbortController();
+  memory.put('keyed.servers', [encodeKeyedBody('one', '1')]);
+  const follower = newKeyedFollower({
+    clock,
+    log: silentLog,
+    store,
+    topic: 'keyed.servers',
+    oddValues: newOddValues(clock, silentLog, metrics),
+    source: 'upstreams',
+    readIntervalMs: () => 0,
+    readWaitMs: () => 500,
+    apply: ({ key, value }) => known.set(key, value?.toString() ?? null),
+  });
+  const running = follower.run(stop.signal);
+  await waitUntil(() => known.has('one'));
+  memory.put('keyed.servers', [
+    encodeKeyedBody('two', '2'),
+    Buffer.from('\u007fone'),
+    Buffer.alloc(0),
+    encodeKeyedBody('three', '3'),
+  ]);
+  await waitUntil(() => known.has('three'));
+  t.deepEqual(
+    [...known],
+    [
+      ['one', '1'],
+      ['two', '2'],
+      ['three', '3'],
+    ],
+  );
+  stop.abort();
+  await running;
+});
