A request that no engine can be sent is refused where its record is read

Cause: what a header and a path may hold was checked for callers only.

Change: that check moved to the package of batches, and the records of batches, segments, handovers and customers' names are checked by it, too.

--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { headerNameSchema, headerValueSchema, idSchema, pathSchema } from './sendable.js';
 import { MAX_RECORD_BYTES, MAX_RECORDS_PER_APPEND } from './storeLimits.js';
 
 /** Every host holds the metadata of all items, and the one that runs them more than that. */
@@ -22,18 +23,18 @@
 
 /** Request to a scoring service for the score of an item's text. */
 export const scoringCallSchema = z.object({
-  id: z.string(),
-  hostName: z.string(),
-  path: z.string(),
+  id: idSchema,
+  hostName: headerValueSchema,
+  path: pathSchema,
   /** Base64-encoded. */
   body: z.string(),
 });
 
 /** One request of a batch. */
 export const itemSchema = z.object({
-  id: z.string(),
-  path: z.string(),
-  headers: z.record(z.string(), z.string()),
+  id: idSchema,
+  path: pathSchema,
+  headers: z.record(headerNameSchema, headerValueSchema),
   /** Base64-encoded. */
   body: z.string(),
   /**
@@ -65,9 +66,9 @@
 export const batchSchema = z.object({
   type: z.literal('batch'),
   id: z.string(),
-  customer: z.string().nullable(),
+  customer: headerValueSchema.nullable(),
   route: z.string(),
-  hostName: z.string(),
+  hostName: headerValueSchema,
   /** Unix time in milliseconds by the accepting host's clock. */
   acceptedAt: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
   step: z.int().nullable(),
@@ -113,7 +114,7 @@
  * Metadata of an item that every host holds; only the host that runs the item loads its request.
  */
 export const itemHeadSchema = z.object({
-  id: z.string(),
+  id: idSchema,
   group: z.string(),
   expectedTokens: expectedTokensSchema,
   /** Digest of the request; items with equal digests request the same text. */
--- a/packages/batches/tests/oddRecords.test.ts
+++ b/packages/batches/tests/oddRecords.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import { batchRecordSchema, partSchema } from '../src/batchRecord.js';
+import type { Item } from '../src/batchRecord.js';
 import newBatches from '../src/newBatches.js';
 import newDemands from '../src/newDemands.js';
 import newPartialTexts from '../src/newPartialTexts.js';
@@ -13,6 +14,7 @@
 import newWantedGroups from '../src/newWantedGroups.js';
 import planTextRead from '../src/planTextRead.js';
 import { encodeRecord, newRecordAssembler } from '../src/recordPieces.js';
+import { parseSegment } from '../src/requestSegment.js';
 import { recordPlaces, textBytes } from '../src/textRecords.js';
 import { newBatch, newItem, newStoredBatch, silentLog } from './helpers.js';
 
@@ -166,6 +168,33 @@
   );
 });
 
+test('a request that no engine can be sent is no request of a segment', (t) => {
+  // Guards against engines that are taken for broken, since a request of another program can't be sent
+  // to any.
+  const odd: Partial<Item>[] = [
+    { id: '' },
+    { id: 'a\nb' },
+    { path: 'no-slash' },
+    { path: '/a b' },
+    { path: '/a\r\nb: c' },
+    { headers: { 'x y': '1' } },
+    { headers: { x: 'a\r\nb' } },
+    { headers: { x: 'ά' } },
+    { scoring: { id: 's', hostName: 'a\nb', path: '/', body: '' } },
+    { scoring: { id: 's', hostName: 'a', path: '', body: '' } },
+  ];
+  const parse = (item: Item) => {
+    const { head, read } = newStoredBatch(newBatch('b', [item]));
+    return parseSegment(read(head.segments[0] ?? null));
+  };
+  t.is(parse(newItem('1'))?.length, 1);
+  odd.forEach((changes) => t.is(parse(newItem('1', changes)), null, JSON.stringify(changes)));
+  const head = headOf('b');
+  t.true(batchRecordSchema.safeParse(head).success);
+  t.false(batchRecordSchema.safeParse({ ...head, hostName: 'a\nb' }).success);
+  t.false(batchRecordSchema.safeParse({ ...head, customer: 'a\nb' }).success);
+});
+
 test('records that are written in pieces without an end take no room for good', (t) => {
   // Guards against a host whose memory another program fills with pieces.
   const dropped = new Map<string, number>();
