A call to a peer fails as a value, whatever its address or answer is

What callers and operators would see: a heartbeat of another writer with a port such as 99999 ends hosts as soon as they call peers, that is in an outage of the store, at a stop or when a batch is accepted ('ERR_SOCKET_BAD_PORT', in promises that nobody awaits). A faulty peer could do the same with an odd answer: a rejected ZodError, a list that is none, a wait of 1e308 ms for a request, or one answer of any size or depth.

Cause: net.connect throws for such a port, so the probe of the peer rejected, and with it the call; answers were used as their static type says.

Change: probeAddress finds such an address unreachable, and no client is made for it. Each call has a schema for its answer; an odd one counts as none, with the line peer.odd-answer and the counter values_unreadable_of_peers. What is kept by a peer's address or name has 1,024 entries at most.

--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -144,6 +144,7 @@
   const peers = newPeers({
     clock,
     log,
+    oddValues,
     failureDomain,
     readPeers: () => coordination.members.recentMembers().filter((member) => member.host !== host),
     self: { host, cores, failureDomain, address: settings.listen.peers },
--- a/packages/batches/src/newBatchDispatcher.ts
+++ b/packages/batches/src/newBatchDispatcher.ts
@@ -2,6 +2,7 @@
 import type { Batch, BatchOwner } from './batchRecord.js';
 import chooseExecutor from './chooseExecutor.js';
 import type { ExecutorReply } from './chooseExecutor.js';
+import { beginAnswer, booleanAnswer, emptyAnswer } from './peerAnswers.js';
 import { describeAnswer } from './newPeerCalls.js';
 import type { PeerAddress, PeerAnswer, PeerCall, PeerCalls } from './newPeerCalls.js';
 import type { BatchExecutor, BeginOutcome } from './peerRouter.js';
@@ -63,18 +64,21 @@
   const hasBegunAt = (at: PeerAddress, id: string): Promise<PeerAnswer<boolean>> =>
     callHost(at, () => hasBegunHere(id), {
       name: 'hasBegun',
+      answer: booleanAnswer,
       run: (client, signal) => client.hasBegun.query(id, { signal }),
     });
 
   const beginAt = (at: PeerAddress, batch: Batch): Promise<PeerAnswer<BeginOutcome>> =>
     callHost(at, () => beginHere(batch), {
       name: 'begin',
+      answer: beginAnswer,
       run: (client, signal) => client.begin.mutate(batch, { signal }),
     });
 
   const reportExecutor = (at: PeerAddress, begun: BatchExecutor): Promise<PeerAnswer<void>> =>
     callHost(at, () => recordExecutorHere(begun), {
       name: 'noteBegun',
+      answer: emptyAnswer,
       run: (client, signal) => client.noteBegun.mutate(begun, { signal }),
     });
 
@@ -115,10 +119,10 @@
       log.warn('batch.not-begun', { batch: batch.id, asked: replies.map(({ host }) => host) });
       return;
     }
-    const beginAnswer = choice.hasBegun ? null : await beginAt(at, batch);
-    const outcome = beginAnswer ? describeAnswer(beginAnswer) : 'begun before';
+    const answer = choice.hasBegun ? null : await beginAt(at, batch);
+    const outcome = answer ? describeAnswer(answer) : 'begun before';
     const answers = Object.fromEntries(
-      replies.map(({ host, answer }) => [host, describeAnswer(answer)]),
+      replies.map((reply) => [reply.host, describeAnswer(reply.answer)]),
     );
     log.info('batch.begun-at', {
       batch: batch.id,
--- a/packages/batches/src/newPeerCalls.ts
+++ b/packages/batches/src/newPeerCalls.ts
@@ -1,8 +1,13 @@
+import { isAddress } from '@cyclamengate/common/address';
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import type { OddValues } from '@cyclamengate/common/newOddValues';
 import probeAddress from '@cyclamengate/common/probeAddress';
+import { formatProblems, restore } from '@cyclamengate/common/restore';
 import sleepWhileResponsive from '@cyclamengate/common/sleepWhileResponsive';
 import { createTRPCClient, httpLink } from '@trpc/client';
+import type { ZodType } from 'zod';
+import newAnswerFetch from './newAnswerFetch.js';
 import type { PeerRouter } from './peerRouter.js';
 
 /**
@@ -14,6 +19,10 @@
 const HEDGE_AFTER_MS = 800;
 /** Time for which an unreachable host is not called again; network partitions last some seconds. */
 const UNREACHABLE_TTL_MS = 3_000;
+/** Another writer may name thousands of hosts; when there are more, all entries are made again. */
+const MAX_KEPT_ADDRESSES = 1_024;
+/** The words of a peer's error may be of any length. */
+const MAX_REASON_CHARACTERS = 200;
 
 /** Address of another host. */
 export interface PeerAddress {
@@ -27,6 +36,8 @@
 /** A call to another host, which may be delivered more than once. */
 export interface PeerCall<Value> {
   name: string;
+  /** What the host may answer; anything else counts as no answer. */
+  answer: ZodType<Value>;
   run: (client: PeerClient, signal: AbortSignal) => Promise<Value>;
 }
 
@@ -41,16 +52,29 @@
 export const describeAnswer = <Value>(answer: PeerAnswer<Value>): Value | string =>
   answer.type === 'answer' ? answer.value : answer.type;
 
-/** Calls other hosts, and distinguishes late hosts from unreachable ones. */
-const newPeerCalls = (clock: Clock, log: EventLog) => {
+const describeError = (error: unknown): string =>
+  String((error as Error | null)?.message ?? error).slice(0, MAX_REASON_CHARACTERS);
+
+const setBounded = <Value>(entries: Map<string, Value>, key: string, value: Value): void => {
+  if (entries.size >= MAX_KEPT_ADDRESSES && !entries.has(key)) entries.clear();
+  entries.set(key, value);
+};
+
+/** Calls other hosts, and distinguishes late hosts from unreachable ones. A call never rejects. */
+const newPeerCalls = (clock: Clock, log: EventLog, oddValues: OddValues) => {
   const clients = new Map<string, PeerClient>();
   const unreachableUntil = new Map<string, number>();
 
   const getClient = ({ address }: PeerAddress): PeerClient => {
-    const client =
-      clients.get(address) ??
-      createTRPCClient<PeerRouter>({ links: [httpLink({ url: `http://${address}/trpc` })] });
-    clients.set(address, client);
+    const known = clients.get(address);
+    if (known) return known;
+    if (!isAddress(address)) throw new Error('not an address');
+    const fetch = newAnswerFetch((reason) =>
+      oddValues.reject('peers', 'peer.odd-answer', { address, reason }),
+    );
+    const link = httpLink({ url: `http://${address}/trpc`, fetch });
+    const client = createTRPCClient<PeerRouter>({ links: [link] });
+    setBounded(clients, address, client);
     return client;
   };
 
@@ -67,10 +91,18 @@
     await sleepWhileResponsive(clock, PROBE_AFTER_MS, AbortSignal.any([failed, ended]));
     if (ended.aborted) return true;
     const isReachable = (await probeAddress(peer.address)) === 'listening';
-    if (!isReachable) unreachableUntil.set(peer.host, clock.now() + UNREACHABLE_TTL_MS);
+    if (!isReachable) setBounded(unreachableUntil, peer.host, clock.now() + UNREACHABLE_TTL_MS);
     return isReachable;
   };
 
+  const checkAnswer = <Value>(peer: PeerAddress, call: PeerCall<Value>, raw: unknown): Value => {
+    const answer = restore(call.answer, raw);
+    if (answer.ok) return answer.val;
+    const problems = answer.val.slice(0, 3);
+    oddValues.reject('peers', 'peer.odd-answer', { peer: peer.host, call: call.name, problems });
+    throw new Error(formatProblems(problems));
+  };
+
   const askUncached = async <Value>(
     peer: PeerAddress,
     timeoutMs: number,
@@ -85,10 +117,10 @@
     let reason = 'silent';
     const run = async (): Promise<Value> => {
       signal.throwIfAborted();
-      return call.run(getClient(peer), signal);
+      return checkAnswer(peer, call, await call.run(getClient(peer), signal));
     };
-    const first = run().catch((error: Error) => {
-      reason = error.message;
+    const first = run().catch((error: unknown) => {
+      reason = describeError(error);
       failed.abort('failed');
       throw error;
     });
--- a/packages/batches/src/newPeers.ts
+++ b/packages/batches/src/newPeers.ts
@@ -1,4 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
+import type { OddValues } from '@cyclamengate/common/newOddValues';
 import type { Evacuation } from '@cyclamengate/engines/newEvacuations';
 import type { UpstreamCrash } from '@cyclamengate/engines/upstreamCrash';
 import type { Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
@@ -9,7 +10,14 @@
 import newPeerCalls from './newPeerCalls.js';
 import type { PeerAnswer, PeerCall } from './newPeerCalls.js';
 import newTrialClaims from './newTrialClaims.js';
-import { writeOutcomeSchema } from './peerRouter.js';
+import {
+  booleanAnswer,
+  crashesAnswer,
+  evacuationsAnswer,
+  reachabilityAnswer,
+  settingsAnswer,
+  writeAnswer,
+} from './peerAnswers.js';
 import type { StoreReachability } from './peerRouter.js';
 
 /**
@@ -33,6 +41,7 @@
 
 export interface PeersOptions extends Omit<BatchDispatcherOptions, 'calls' | 'readPeers'> {
   clock: Clock;
+  oddValues: OddValues;
   failureDomain: string;
   /** Other hosts that were live according to the last heartbeats that this host has read. */
   readPeers: () => Peer[];
@@ -65,18 +74,19 @@
  */
 const newPeers = (options: PeersOptions) => {
   const { clock, log, failureDomain, self, readPeers, mayHold, rank, random } = options;
-  const calls = newPeerCalls(clock, log);
+  const calls = newPeerCalls(clock, log, options.oddValues);
   const { ask, askUncached } = calls;
   const dispatcher = newBatchDispatcher({ ...options, calls });
 
   const askToWrite = async (peer: Peer, record: BatchChange): Promise<WriteOutcome> => {
     const answer = await askUncached(peer, WRITE_TIMEOUT_MS + ROUND_TRIP_MS, {
       name: 'keep',
+      answer: writeAnswer,
       run: (client, signal) =>
         client.keep.mutate({ record, withinMs: WRITE_TIMEOUT_MS }, { signal }),
     });
     // A peer that did not receive the call cannot be distinguished from one whose answer was lost.
-    return answer.type === 'answer' ? writeOutcomeSchema.parse(answer.value) : 'unknown';
+    return answer.type === 'answer' ? answer.value : 'unknown';
   };
 
   /** Calls some peers; @returns the values of those that answer. */
@@ -108,6 +118,7 @@
       for (const peer of rankSuccessors(batch).slice(0, MAX_SUCCESSORS)) {
         const answer = await ask(peer, CALL_TIMEOUT_MS, {
           name: 'takeOver',
+          answer: booleanAnswer,
           run: (client, signal) => client.takeOver.mutate(handover, { signal }),
         });
         if (isAnswer(answer, true)) {
@@ -126,6 +137,7 @@
       for (const peer of choosePeers(readPeers(), failureDomain, random)) {
         const answer = await ask(peer, WRITE_TIMEOUT_MS + ROUND_TRIP_MS, {
           name: 'announce',
+          answer: booleanAnswer,
           run: (client, signal) => client.announce.mutate(heartbeat, { signal }),
         });
         if (isAnswer(answer, true)) return true;
@@ -144,6 +156,7 @@
         chosen.map((peer) =>
           askUncached(peer, PROBE_TIMEOUT_MS, {
             name: 'touch',
+            answer: reachabilityAnswer,
             run: (client, signal) => client.touch.query(undefined, { signal }),
           }),
         ),
@@ -158,6 +171,7 @@
     exchangeCrashes: async (crashes: UpstreamCrash[]): Promise<UpstreamCrash[]> => {
       const known = await askSome({
         name: 'exchangeCrashes',
+        answer: crashesAnswer,
         run: (client, signal) => client.exchangeCrashes.mutate(crashes, { signal }),
       });
       return known.flat();
@@ -166,6 +180,7 @@
     fetchNewerSettings: async (version: number): Promise<string[]> => {
       const sources = await askSome({
         name: 'findNewerSettings',
+        answer: settingsAnswer,
         run: (client, signal) => client.findNewerSettings.query(version, { signal }),
       });
       return sources.filter((source) => source !== null);
@@ -174,6 +189,7 @@
     fetchEvacuations: async (): Promise<Evacuation[]> => {
       const known = await askSome({
         name: 'listEvacuations',
+        answer: evacuationsAnswer,
         run: (client, signal) => client.listEvacuations.query(undefined, { signal }),
       });
       return known.flat();
--- a/packages/batches/src/newTrialClaims.ts
+++ b/packages/batches/src/newTrialClaims.ts
@@ -1,5 +1,6 @@
 import rendezvousRank from '@cyclamengate/common/rendezvousRank';
 import type { Trials } from '@cyclamengate/engines/newSuspectGate';
+import { emptyAnswer, trialAnswer } from './peerAnswers.js';
 import type { PeerAddress, PeerAnswer, PeerCall, PeerCalls } from './newPeerCalls.js';
 
 /** A host that can grant a trial answers within a few milliseconds. */
@@ -46,6 +47,7 @@
     claim: async (digest, crashes) => {
       const answer = await askFirst(digest, {
         name: 'claimTrial',
+        answer: trialAnswer,
         run: (client, signal) => client.claimTrial.mutate({ digest, crashes }, { signal }),
       });
       return answer?.type === 'answer' && answer.value > 0 ? answer.value : null;
@@ -53,6 +55,7 @@
     cancel: (digest) => {
       askFirst(digest, {
         name: 'cancelTrial',
+        answer: emptyAnswer,
         run: (client, signal) => client.cancelTrial.mutate(digest, { signal }),
       });
     },
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -1,3 +1,4 @@
+import { addressSchema } from '@cyclamengate/common/address';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import { heartbeatSchema } from '@cyclamengate/hosts/coordinationRecord';
 import type { Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
@@ -9,8 +10,6 @@
 import { batchChangeSchema, batchSchema, handoverSchema } from './batchRecord.js';
 import type { Batch, BatchChange, Handover } from './batchRecord.js';
 
-export const writeOutcomeSchema = z.enum(['written', 'not-written', 'unknown']);
-
 /** How well a host reaches the store: not at all, only since recently, or steadily. */
 export type StoreReachability = 'none' | 'new' | 'steady';
 
@@ -38,7 +37,7 @@
   batch: z.string(),
   host: z.string(),
   /** IP address and port for other hosts. */
-  address: z.string(),
+  address: addressSchema,
 });
 
 /** Host that was told to begin a batch before the store had it. */
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -1,5 +1,7 @@
 import { once } from 'node:events';
 import type { AddressInfo } from 'node:net';
+import newMetrics from '@cyclamengate/common/newMetrics';
+import newOddValues from '@cyclamengate/common/newOddValues';
 import newSystemClock from '@cyclamengate/common/newSystemClock';
 import newTestMemory from '@cyclamengate/fakes/newTestMemory';
 import type { UpstreamCrash } from '@cyclamengate/engines/upstreamCrash';
@@ -67,10 +69,15 @@
   return { peer, taken, begun, announced, executorReports, crashesHere, server };
 };
 
-export const newCaller = (peers: Peer[], reported: BatchExecutor | null = null) =>
+export const newCaller = (
+  peers: Peer[],
+  reported: BatchExecutor | null = null,
+  metrics = newMetrics(),
+) =>
   newPeers({
     clock,
     log: silentLog,
+    oddValues: newOddValues(clock, silentLog, metrics),
     failureDomain: 'detroit',
     readPeers: () => peers,
     self: { host: 'a', cores: 1, failureDomain: 'detroit', address: '127.0.0.1:1' },
--- a/packages/common/src/probeAddress.ts
+++ b/packages/common/src/probeAddress.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import { isAddress, parseAddress } from './address.js';
 
 /**
  * A reachable machine accepts within this time, also across failure domains and over a busy link.
@@ -14,13 +15,16 @@
 /**
  * Probes whether connections are accepted at an address. The operating system also accepts them for
  * a process that is busy or suspended, so this distinguishes a late process from one that is gone.
- * @param address IP address and port
+ * @param address IP address and port; what no connection can be made to is unreachable
  * @param timeoutMs after which the address counts as unreachable
  */
 const probeAddress = (address: string, timeoutMs = CONNECT_TIMEOUT_MS): Promise<AddressState> =>
   new Promise((resolve) => {
-    const [host, port] = address.split(':');
-    const socket = connect({ host, port: Number(port) });
+    if (!isAddress(address)) {
+      resolve('unreachable');
+      return;
+    }
+    const socket = connect(parseAddress(address));
     let timer: NodeJS.Timeout | null = null;
     const settle = (state: AddressState): void => {
       if (timer) clearTimeout(timer);
--- a/packages/engines/src/newEvacuations.ts
+++ b/packages/engines/src/newEvacuations.ts
@@ -1,13 +1,18 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
+import { z } from 'zod';
+
+const MAX_NAME_LENGTH = 256;
 
 /** The newest state of a failure domain's evacuation. */
-export interface Evacuation {
-  failureDomain: string;
-  isEvacuated: boolean;
+export const evacuationSchema = z.object({
+  failureDomain: z.string().min(1).max(MAX_NAME_LENGTH),
+  isEvacuated: z.boolean(),
   /** Offset of the operator's record, or of the snapshot that no longer had it. */
-  offset: number;
-}
+  offset: z.int().min(0),
+});
+
+export type Evacuation = z.infer<typeof evacuationSchema>;
 
 export interface EvacuationOptions {
   clock: Clock;
