A peer's call costs little more than its size, whatever is wrong with it

What operators would see: a host ends by its memory limit on one call of 6 MB of a faulty peer, such as a batch whose items are millions of zeros.

One call could also hold 2,700 calls that each read the store, and names of 6 MB that a host keeps for as long as batches are kept.

Change: listOf and recordOf read up to the first wrong member, for all lists of batch records and peers' calls; names that are kept have a bound; several calls in one are refused, since no host makes them.

The names' bound was not run on the old code.

--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -1,3 +1,5 @@
+import listOf from '@cyclamengate/common/listOf';
+import recordOf from '@cyclamengate/common/recordOf';
 import { z } from 'zod';
 
 /** Request to a scoring service for the score of an item's text. */
@@ -13,7 +15,7 @@
 export const itemSchema = z.object({
   id: z.string(),
   path: z.string(),
-  headers: z.record(z.string(), z.string()),
+  headers: recordOf(z.string()),
   /** Base64-encoded. */
   body: z.string(),
   /**
@@ -56,7 +58,7 @@
   leastVersion: z.int(),
   /** Number of complete groups that the trainer waits for. */
   wantedGroups: z.int(),
-  items: z.array(itemSchema),
+  items: listOf(itemSchema),
 });
 
 export type Batch = z.infer<typeof batchSchema>;
@@ -75,7 +77,7 @@
 export type TextRun = z.infer<typeof textRunSchema>;
 
 /** Location of a text in the store. A text that is larger than one append has further runs. */
-export const textPlaceSchema = textRunSchema.extend({ rest: z.array(textRunSchema).optional() });
+export const textPlaceSchema = textRunSchema.extend({ rest: listOf(textRunSchema).optional() });
 
 export type TextPlace = z.infer<typeof textPlaceSchema>;
 
@@ -97,9 +99,9 @@
 /** A batch without its requests, which are stored separately. */
 export const batchHeadSchema = batchSchema.extend({
   type: z.literal('batch-head'),
-  items: z.array(itemHeadSchema),
+  items: listOf(itemHeadSchema),
   /** Locations of the segments that hold the requests, in order. */
-  segments: z.array(textPlaceSchema),
+  segments: listOf(textPlaceSchema),
 });
 
 export type BatchHead = z.infer<typeof batchHeadSchema>;
@@ -113,7 +115,7 @@
   /** Null if there is no text. */
   text: textPlaceSchema.nullable(),
   /** All versions of the weights that generated an event of the text. */
-  versions: z.array(z.int()),
+  versions: listOf(z.int()),
   score: z.string().nullable(),
 });
 
@@ -151,10 +153,10 @@
   writer: z.string(),
   /** Number of events in the writer's earlier parts. */
   from: z.int(),
-  events: z.array(z.string()),
+  events: listOf(z.string()),
   lastEventId: z.string().nullable(),
   /** Versions of the weights that generated the events so far. */
-  versions: z.array(z.int()),
+  versions: listOf(z.int()),
   /** Whether the text is complete and only its score is missing. */
   isWhole: z.boolean(),
 });
@@ -164,7 +166,7 @@
 /** A batch that is handed over to another host, with the partial texts of its items. */
 export const handoverSchema = z.object({
   batch: batchSchema,
-  texts: z.array(partSchema),
+  texts: listOf(partSchema),
   /** Incarnation that hands the batch over. */
   from: z.string(),
   /**
--- a/packages/batches/src/newPeerServer.ts
+++ b/packages/batches/src/newPeerServer.ts
@@ -17,6 +17,8 @@
     router: newPeerRouter(service),
     basePath: '/trpc/',
     maxBodySize: MAX_CALL_BYTES,
+    // No host makes several calls in one, and each may read the store.
+    allowBatching: false,
   });
 
   /** Nearly all calls announce their size and are small. */
--- a/packages/batches/src/peerAnswers.ts
+++ b/packages/batches/src/peerAnswers.ts
@@ -1,3 +1,4 @@
+import listOf from '@cyclamengate/common/listOf';
 import { evacuationSchema } from '@cyclamengate/engines/newEvacuations';
 import { upstreamCrashSchema } from '@cyclamengate/engines/upstreamCrash';
 import { z } from 'zod';
@@ -19,5 +20,5 @@
 export const emptyAnswer = z.void();
 export const trialAnswer = z.number().min(0).max(MAX_TRIAL_WAIT_MS);
 export const settingsAnswer = z.string().nullable();
-export const crashesAnswer = z.array(upstreamCrashSchema).max(MAX_EXCHANGED_CRASHES);
-export const evacuationsAnswer = z.array(evacuationSchema).max(MAX_FAILURE_DOMAINS);
+export const crashesAnswer = listOf(upstreamCrashSchema, MAX_EXCHANGED_CRASHES);
+export const evacuationsAnswer = listOf(evacuationSchema, MAX_FAILURE_DOMAINS);
--- a/packages/batches/src/peerRouter.ts
+++ b/packages/batches/src/peerRouter.ts
@@ -1,4 +1,5 @@
 import { addressSchema } from '@cyclamengate/common/address';
+import listOf from '@cyclamengate/common/listOf';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
 import { heartbeatSchema } from '@cyclamengate/hosts/coordinationRecord';
 import type { Heartbeat } from '@cyclamengate/hosts/coordinationRecord';
@@ -16,13 +17,16 @@
 /** Maximum time that a host spends on a peer's record, in milliseconds. */
 const MAX_WRITE_MS = 2_000;
 
+/** A name that a host keeps. */
+const MAX_NAME_LENGTH = 1_024;
+
 /** Number of crashes of upstreams that two hosts exchange in one call. */
 export const MAX_EXCHANGED_CRASHES = 128;
 
 const trialSchema = z.object({
   /** Digest of the request. */
   digest: z.string(),
-  crashes: z.array(upstreamCrashSchema).max(MAX_EXCHANGED_CRASHES),
+  crashes: listOf(upstreamCrashSchema, MAX_EXCHANGED_CRASHES),
 });
 
 const keepSchema = z.object({
@@ -33,9 +37,11 @@
   withinMs: z.number().min(0).max(MAX_WRITE_MS),
 });
 
+const nameSchema = z.string().min(1).max(MAX_NAME_LENGTH);
+
 const executorSchema = z.object({
-  batch: z.string(),
-  host: z.string(),
+  batch: nameSchema,
+  host: nameSchema,
   /** IP address and port for other hosts. */
   address: addressSchema,
 });
@@ -97,7 +103,7 @@
     takeOver: t.procedure.input(handoverSchema).mutation(({ input }) => service.takeOver(input)),
     announce: t.procedure.input(heartbeatSchema).mutation(({ input }) => service.announce(input)),
     exchangeCrashes: t.procedure
-      .input(z.array(upstreamCrashSchema).max(MAX_EXCHANGED_CRASHES))
+      .input(listOf(upstreamCrashSchema, MAX_EXCHANGED_CRASHES))
       .mutation(({ input }) => service.exchangeCrashes(input)),
     claimTrial: t.procedure
       .input(trialSchema)
