A coordination record with an address or a figure out of range is rejected

What operators would see: a heartbeat of another writer with a port such as 99999 makes a host that others call; one with 1e308 cores ranks before all real hosts, so that what it owns runs nowhere; one with negative counts makes room at engines that have none.

Cause: the schema had types, but nearly no ranges, and any text was an address.

Records and maps of counts are read up to the first wrong value.

--- a/packages/hosts/src/readHeartbeat.ts
+++ b/packages/hosts/src/readHeartbeat.ts
@@ -1,10 +1,22 @@
+import { isAddress } from '@cyclamengate/common/address';
+import {
+  MAX_CORES,
+  MAX_COUNT,
+  MAX_NAME_LENGTH,
+  MAX_WINDOW,
+  WINDOW_NAME,
+} from './coordinationRecord.js';
 import type { Heartbeat } from './coordinationRecord.js';
 
 type Fields = Record<string, unknown>;
 
-const isText = (value: unknown): value is string => typeof value === 'string';
+const isName = (value: unknown): boolean =>
+  typeof value === 'string' && value.length >= 1 && value.length <= MAX_NAME_LENGTH;
 
-const isCount = (value: unknown): boolean => Number.isSafeInteger(value);
+const isIntegerWithin = (value: unknown, least: number, greatest: number): boolean =>
+  Number.isSafeInteger(value) && Number(value) >= least && Number(value) <= greatest;
+
+const isCount = (value: unknown): boolean => isIntegerWithin(value, 0, MAX_COUNT);
 
 const isFields = (value: unknown): value is Fields =>
   typeof value === 'object' && value !== null && !Array.isArray(value);
@@ -15,14 +27,25 @@
 const isRecordOf = (value: unknown, isValid: (member: unknown) => boolean): boolean =>
   isFields(value) && Object.keys(value).every((key) => isPlainKey(key) && isValid(value[key]));
 
-const isUsageCounts = (value: unknown): boolean =>
-  isRecordOf(value, (count) => isCount(count) && Number(count) >= 0);
+const isUsageCounts = (value: unknown): boolean => isRecordOf(value, isCount);
+
+const isUsage = (value: unknown): boolean =>
+  isRecordOf(value, isUsageCounts) &&
+  Object.keys(value as Fields).every((window) => WINDOW_NAME.test(window));
 
 const hasValidTexts = ({ host, incarnation, failureDomain, address }: Fields): boolean =>
-  isText(host) && isText(incarnation) && isText(failureDomain) && isText(address);
+  isName(host) &&
+  isName(incarnation) &&
+  isName(failureDomain) &&
+  typeof address === 'string' &&
+  isAddress(address);
 
 const hasValidNumbers = ({ number, cores, countedThrough }: Fields): boolean =>
-  isCount(number) && Number.isFinite(cores) && Number(cores) >= 0 && isCount(countedThrough);
+  isCount(number) &&
+  Number.isFinite(cores) &&
+  Number(cores) >= 0 &&
+  Number(cores) <= MAX_CORES &&
+  isIntegerWithin(countedThrough, -1, MAX_WINDOW);
 
 const hasValidLoad = ({ running, demand, paces }: Fields): boolean =>
   isRecordOf(running, isCount) &&
@@ -42,7 +65,7 @@
     hasValidNumbers(raw) &&
     hasValidLoad(raw) &&
     typeof isLeaving === 'boolean' &&
-    isRecordOf(usage, isUsageCounts);
+    isUsage(usage);
   if (!isValid) return null;
   const heartbeat = raw as Heartbeat;
   return {
