Usage windows are kept by the host's clock, and customers have any name

What operators would see: one record that names a window of the far future makes all windows look old, so that nothing that callers use is billed; a close of an old window is reported to the platform as if it were ours; the usage of a customer with a name such as 'constructor' is a text.

Cause: windows were dropped by the newest that any record named; counts were added to what every object inherits.

Change: windows more than two ahead of the clock are passed over, with the line usage.window-ahead and the counter values_unreadable_of_coordination; old ones are dropped by the clock.

--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -42,6 +42,8 @@
 const MAX_VIEW_AGE_MS = 1_500;
 /** Added to the rank of hosts in other failure domains, so that the lease's own domain claims first. */
 const OTHER_DOMAIN_RANK_OFFSET = 6;
+/** Windows in the line about a record that names windows ahead of the clock. */
+const MAX_NAMED_WINDOWS = 3;
 
 export interface CoordinationOptions {
   clock: Clock;
@@ -80,10 +82,16 @@
     host,
     () => heartbeatIntervalMs() * HEARTBEAT_TIMEOUT_INTERVALS,
   );
-  const usage = newUsageCounts();
+  const usage = newUsageCounts(meter.currentWindow);
   const heartbeatOrder = newHeartbeatOrder();
   let heartbeatNumber = 0;
 
+  const rejectAhead = (windows: number[], offset: number): void => {
+    const ahead = windows.filter(usage.isAhead).slice(0, MAX_NAMED_WINDOWS);
+    if (ahead.length === 0) return;
+    options.oddValues.reject('coordination', 'usage.window-ahead', { windows: ahead, offset });
+  };
+
   const applyRecord = (record: CoordinationRecord, offset: number): void => {
     switch (record.type) {
       case 'heartbeat':
@@ -92,6 +100,7 @@
           return;
         }
         members.apply(record);
+        rejectAhead(Object.keys(record.usage).map(Number), offset);
         usage.applyHeartbeat(record);
         return;
       case 'lease':
@@ -100,9 +109,11 @@
         }
         return;
       case 'usage-close':
+        rejectAhead([record.window], offset);
         usage.applyClose(record.window, record.counts);
         return;
       case 'usage-reported':
+        rejectAhead([record.window], offset);
         usage.applyReported(record.window);
         break;
       default:
--- a/packages/hosts/src/newUsageMeter.ts
+++ b/packages/hosts/src/newUsageMeter.ts
@@ -32,7 +32,9 @@
     count: (customer: string, beganAt: number): void => {
       const window = windowAt(beganAt);
       const counts = windows.get(window) ?? {};
-      counts[customer] = (counts[customer] ?? 0) + 1;
+      // A customer may have the name of something that every object inherits.
+      const known = Object.hasOwn(counts, customer) ? (counts[customer] ?? 0) : 0;
+      counts[customer] = known + 1;
       windows.set(window, counts);
     },
     /**
--- a/packages/hosts/tests/reportWindows.test.ts
+++ b/packages/hosts/tests/reportWindows.test.ts
@@ -13,7 +13,7 @@
 const newParts = () => {
   const clock = newManualClock(100 * WINDOW_MS);
   const members = newMembers(clock, 'a', () => 2_000);
-  const usage = newUsageCounts();
+  const usage = newUsageCounts(() => Math.floor(clock.wallTime() / WINDOW_MS));
   const sent: UsageReport[] = [];
   const windowsWithLostAnswer = new Set<number>();
   const stop = new AbortController();
