A claim after a record that does not exist takes no lease

What operators would see: usage that nobody reports and engines that get no orders, for as long as another writer's claims with a large 'previous' come.

Cause: a claim is void if a valid record follows the one that it names; one that names an offset of the future was valid whenever it came.

Change: a claim that names its own offset or a later one is void.

--- a/packages/hosts/src/newLeases.ts
+++ b/packages/hosts/src/newLeases.ts
@@ -57,7 +57,8 @@
   const apply = (claim: LeaseClaim, offset: number): boolean => {
     const lease = getOrCreateLease(claim.subject);
     lease.newestRead = offset;
-    if (claim.previous < lease.newestValid) return false;
+    // A host can't have read what comes later; such a claim would follow every record.
+    if (claim.previous < lease.newestValid || claim.previous >= offset) return false;
     lease.newestValid = offset;
     const readAt = clock.now();
     const last = lease.tenures.at(-1);
