Hosts that do not exist have a bound in what a host keeps

What operators would see: another writer's heartbeats with ever new names make hosts grow until they end, slow down their heartbeats (15 ms a known host), and let hosts be asked that do not exist.

Cause: members, the order of heartbeats, former incarnations, weights and claims for leases were kept by name, and never or rarely discarded.

Change: 512 hosts at a time; a host beyond them is passed over, with the line heartbeat.no-place and the counter of the topic; those that have been silent for long give their places up first.

--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -76,7 +76,8 @@
   const heartbeatIntervalMs = (): number =>
     Math.max(MIN_HEARTBEAT_INTERVAL_MS, memberCount * HEARTBEAT_INTERVAL_MS_PER_HOST);
 
-  const leases = newLeases(clock, leaseMs);
+  const followedLeases = new Set<string>();
+  const leases = newLeases(clock, leaseMs, (subject) => followedLeases.has(subject));
   const members = newMembers(
     clock,
     host,
@@ -99,7 +100,13 @@
           log.info('heartbeat.late', { of: record.host, isLeaving: record.isLeaving, offset });
           return;
         }
-        members.apply(record);
+        if (!members.apply(record)) {
+          options.oddValues.reject('coordination', 'heartbeat.no-place', {
+            of: record.host,
+            offset,
+          });
+          return;
+        }
         rejectAhead(Object.keys(record.usage).map(Number), offset);
         usage.applyHeartbeat(record);
         return;
@@ -240,8 +247,10 @@
     return isOwnDomain ? position : position + OTHER_DOMAIN_RANK_OFFSET;
   };
 
-  const newLease = (subject: string, domain: string | null): LeaseKeeper =>
-    newLeaseKeeper({
+  /** To be called before the records are read. */
+  const newLease = (subject: string, domain: string | null): LeaseKeeper => {
+    followedLeases.add(subject);
+    return newLeaseKeeper({
       clock,
       log,
       leases,
@@ -253,6 +262,7 @@
       rank: () => leaseRankFor(subject, domain),
       isFresh,
     });
+  };
 
   return {
     members,
--- a/packages/hosts/src/newHeartbeatOrder.ts
+++ b/packages/hosts/src/newHeartbeatOrder.ts
@@ -1,4 +1,8 @@
 import type { Heartbeat } from './coordinationRecord.js';
+import MAX_HOSTS from './maxHosts.js';
+
+/** A host that failed to start this often is long out of the order of its first heartbeats. */
+const MAX_FORMER_INCARNATIONS = 16;
 
 type HeartbeatPosition = Pick<Heartbeat, 'host' | 'incarnation' | 'number'>;
 
@@ -17,8 +21,17 @@
  * recovered host as leaving, so that other hosts begin its batches, and restore older usage counts.
  */
 const newHeartbeatOrder = () => {
+  /** Those that beat last come last. */
   const hosts = new Map<string, NewestHeartbeat>();
 
+  /** Forgets the host that has been silent for longest where there are too many. */
+  const put = (host: string, newest: NewestHeartbeat): void => {
+    hosts.delete(host);
+    hosts.set(host, newest);
+    const [oldest] = hosts.keys();
+    if (hosts.size > MAX_HOSTS && oldest !== undefined) hosts.delete(oldest);
+  };
+
   const isNewIncarnation = (
     { incarnation }: HeartbeatPosition,
     known: NewestHeartbeat | undefined,
@@ -30,20 +43,18 @@
     const { host, incarnation, number } = heartbeat;
     const known = hosts.get(host);
     if (isNewIncarnation(heartbeat, known)) {
-      const formerIncarnations = new Set([
-        ...(known?.formerIncarnations ?? []),
-        ...(known ? [known.incarnation] : []),
-      ]);
-      hosts.set(host, { incarnation, number, formerIncarnations });
+      const former = [...(known?.formerIncarnations ?? []), ...(known ? [known.incarnation] : [])];
+      const formerIncarnations = new Set(former.slice(-MAX_FORMER_INCARNATIONS));
+      put(host, { incarnation, number, formerIncarnations });
       return true;
     }
     if (known?.incarnation !== incarnation) return false;
     if (number > 0 && number <= known.number) return false;
-    known.number = number;
+    put(host, { ...known, number });
     return true;
   };
 
-  return { recordIfNewer };
+  return { recordIfNewer, size: (): number => hosts.size };
 };
 
 export default newHeartbeatOrder;
--- a/packages/hosts/src/newLeases.ts
+++ b/packages/hosts/src/newLeases.ts
@@ -39,8 +39,14 @@
  * The oldest records expire. A host that starts then can't tell whether the first claim that it reads
  * is a void one. It accepts it and claims nothing for a term: by then a holder has renewed its lease,
  * and names a newer record than the one that was accepted.
+ *
+ * @param isFollowed whether this host may claim a lease; claims for others are passed over
  */
-const newLeases = (clock: Clock, termMs: number) => {
+const newLeases = (
+  clock: Clock,
+  termMs: number,
+  isFollowed: (subject: string) => boolean = () => true,
+) => {
   const leases = new Map<string, Lease>();
   /** Until then, on the monotonic clock, claims that expired unread may still be in force. */
   let unknownUntil = -Infinity;
@@ -55,6 +61,7 @@
 
   /** @returns whether the claim is valid */
   const apply = (claim: LeaseClaim, offset: number): boolean => {
+    if (!isFollowed(claim.subject)) return false;
     const lease = getOrCreateLease(claim.subject);
     lease.newestRead = offset;
     // A host can't have read what comes later; such a claim would follow every record.
--- a/packages/hosts/src/newMembers.ts
+++ b/packages/hosts/src/newMembers.ts
@@ -2,6 +2,7 @@
 import hadOutage from '@cyclamengate/store/hadOutage';
 import type { Heartbeat } from './coordinationRecord.js';
 import { foldPaces, selectPacesToShare } from './foldPaces.js';
+import MAX_HOSTS from './maxHosts.js';
 
 export interface Member {
   host: string;
@@ -75,7 +76,21 @@
   const isLive = (knownHost: KnownHost): boolean =>
     !knownHost.heartbeat.isLeaving && isUnexpired(knownHost);
 
-  const apply = (heartbeat: Heartbeat): void => {
+  const isRecent = ({ deadline }: KnownHost): boolean =>
+    clock.now() < deadline + RECENT_HOST_RETENTION_MS;
+
+  /** Hosts of earlier times are kept until others need their places: some may still ask who left. */
+  const hasPlaceFor = (name: string): boolean => {
+    if (knownHosts.size < MAX_HOSTS || knownHosts.has(name)) return true;
+    [...knownHosts]
+      .filter(([, knownHost]) => !isRecent(knownHost))
+      .forEach(([former]) => knownHosts.delete(former));
+    return knownHosts.size < MAX_HOSTS;
+  };
+
+  /** @returns false if there are too many hosts to know one more */
+  const apply = (heartbeat: Heartbeat): boolean => {
+    if (!hasPlaceFor(heartbeat.host)) return false;
     const previous = knownHosts.get(heartbeat.host);
     const isSameLiveIncarnation =
       previous !== undefined &&
@@ -88,6 +103,7 @@
     cachedDemand = null;
     const deadline = clock.now() + readLifetimeMs();
     knownHosts.set(heartbeat.host, { heartbeat, deadline, loadDeadline: deadline });
+    return true;
   };
 
   const computeLive = (): CachedResult<Member[]> => {
@@ -135,9 +151,6 @@
     ),
   });
 
-  const isRecent = ({ deadline }: KnownHost): boolean =>
-    clock.now() < deadline + RECENT_HOST_RETENTION_MS;
-
   /** @param at monotonic time before which all written records are in the view */
   const advanceView = (at: number): void => {
     if (viewTime !== null && hadOutage(viewTime, at)) {
--- a/packages/hosts/tests/newMembers.test.ts
+++ b/packages/hosts/tests/newMembers.test.ts
@@ -119,7 +119,7 @@
   // One host measures nonsense, another does not send paces yet. Engines would be assigned to models
   // by these figures, differently on each host.
   const { members } = newParts();
-  const share = (host: string, paces?: Record<string, number>): void =>
+  const share = (host: string, paces?: Record<string, number>): boolean =>
     members.apply(newHeartbeat(host, { paces }));
   share('a', { fast: 0.5, slow: 2, odd: 0 });
   share('b', { fast: 0.4, slow: 2.4, odd: -3 });
