--- a/apps/host/tests/testSystem.ts
+++ b/apps/host/tests/testSystem.ts
@@ -1,12 +1,21 @@
 import newPlatform from '@cyclamengate/app-platform-standin/newPlatform';
+import type { Platform } from '@cyclamengate/app-platform-standin/newPlatform';
 import { newHosts, waitUntil } from './newHosts.js';
 import type { TestHost } from './newHosts.js';
 
 const DOMAINS = ['detroit', 'cleveland'];
 
-/** A stand-in platform with engines, and hosts in both failure domains. */
-export const newSystem = async (enginesPerDomain = 2, count = 3) => {
+/**
+ * A stand-in platform with engines, and hosts in both failure domains.
+ * @param prepare changes the platform before the hosts start
+ */
+export const newSystem = async (
+  enginesPerDomain = 2,
+  count = 3,
+  prepare: (platform: Platform) => void = () => {},
+) => {
   const platform = await newPlatform({ domains: DOMAINS, enginesPerDomain });
+  prepare(platform);
   const domains = Array.from({ length: count }, (_, index) => DOMAINS[index % 2] ?? 'detroit');
   const system = await newHosts(platform, domains);
   const close = async (): Promise<void> => {
