A record in the name of a live host hides it for seconds, not for good

What operators would see: one heartbeat of another writer with the name of a live host makes that host look replaced to all others, and to itself, until it is started again; three such records, and no host of three owns anything.

Cause: an earlier incarnation never counts again, since its heartbeats may be written late by a peer.

--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -84,7 +84,7 @@
     () => heartbeatIntervalMs() * HEARTBEAT_TIMEOUT_INTERVALS,
   );
   const usage = newUsageCounts(meter.currentWindow);
-  const heartbeatOrder = newHeartbeatOrder();
+  const heartbeatOrder = newHeartbeatOrder(clock);
   let heartbeatNumber = 0;
 
   const rejectAhead = (windows: number[], offset: number): void => {
--- a/apps/host/tests/oddCoordination.test.ts
+++ b/apps/host/tests/oddCoordination.test.ts
@@ -213,3 +213,28 @@
   t.is(metrics.readCounter('values_unreadable_of_coordination'), odd.length);
   await stop();
 });
+
+test('a record in the name of a live host hides it for seconds, not for good', async (t) => {
+  // Guards against a fleet in which no host owns anything, since each looks replaced by a process that
+  // another writer made up.
+  const clock = newManualClock();
+  const { memory, coordination, stop } = newHost(clock);
+  const put = (record: Heartbeat): number =>
+    memory.put(TOPIC, [Buffer.from(JSON.stringify(record))]);
+  const isLive = (name: string, incarnation: string): boolean =>
+    coordination.members
+      .live()
+      .some((member) => member.host === name && member.incarnation === incarnation);
+  put(heartbeat('b', 1, {}));
+  await pass(clock, 1_000);
+  ['a', 'b'].forEach((host) => put({ ...heartbeat(host, 900_000_000, {}), incarnation: 'odd' }));
+  await pass(clock, 500);
+  t.false(isLive('a', 'a-run'));
+  for (let number = 2; number < 20; number += 1) {
+    put(heartbeat('b', number, {}));
+    await pass(clock, 500);
+  }
+  t.true(isLive('a', 'a-run'));
+  t.true(isLive('b', 'b-run'));
+  await stop();
+});
--- a/packages/hosts/tests/manyHosts.test.ts
+++ b/packages/hosts/tests/manyHosts.test.ts
@@ -49,7 +49,7 @@
 
 test('the order of heartbeats is kept for hosts that beat, whatever other names come', (t) => {
   // Guards against a late heartbeat that counts after a flood, and against names that are kept for good.
-  const { recordIfNewer, size } = newHeartbeatOrder();
+  const { recordIfNewer, size } = newHeartbeatOrder(newManualClock());
   const beat = (host: string, number: number): boolean =>
     recordIfNewer({ host, incarnation: `${host}-run`, number });
   names.forEach((host, index) => {
@@ -62,7 +62,7 @@
 
 test('incarnations of one name have a bound', (t) => {
   // Guards against a host that each heartbeat of another writer lets grow and copy a list.
-  const { recordIfNewer } = newHeartbeatOrder();
+  const { recordIfNewer } = newHeartbeatOrder(newManualClock());
   const beat = (incarnation: string): boolean =>
     recordIfNewer({ host: 'a', incarnation, number: 1 });
   names.forEach((incarnation) => t.true(beat(incarnation)));
