--- a/apps/host/src/newCoordination.ts
+++ b/apps/host/src/newCoordination.ts
@@ -42,6 +42,8 @@
 const MAX_VIEW_AGE_MS = 1_500;
 /** Added to the rank of hosts in other failure domains, so that the lease's own domain claims first. */
 const OTHER_DOMAIN_RANK_OFFSET = 6;
+/** Windows in the line about a record that names windows ahead of the clock. */
+const MAX_NAMED_WINDOWS = 3;
 
 export interface CoordinationOptions {
   clock: Clock;
@@ -74,16 +76,23 @@
   const heartbeatIntervalMs = (): number =>
     Math.max(MIN_HEARTBEAT_INTERVAL_MS, memberCount * HEARTBEAT_INTERVAL_MS_PER_HOST);
 
-  const leases = newLeases(clock, leaseMs);
+  const followedLeases = new Set<string>();
+  const leases = newLeases(clock, leaseMs, (subject) => followedLeases.has(subject));
   const members = newMembers(
     clock,
     host,
     () => heartbeatIntervalMs() * HEARTBEAT_TIMEOUT_INTERVALS,
   );
-  const usage = newUsageCounts();
-  const heartbeatOrder = newHeartbeatOrder();
+  const usage = newUsageCounts(meter.currentWindow);
+  const heartbeatOrder = newHeartbeatOrder(clock);
   let heartbeatNumber = 0;
 
+  const rejectAhead = (windows: number[], offset: number): void => {
+    const ahead = windows.filter(usage.isAhead).slice(0, MAX_NAMED_WINDOWS);
+    if (ahead.length === 0) return;
+    options.oddValues.reject('coordination', 'usage.window-ahead', { windows: ahead, offset });
+  };
+
   const applyRecord = (record: CoordinationRecord, offset: number): void => {
     switch (record.type) {
       case 'heartbeat':
@@ -91,7 +100,14 @@
           log.info('heartbeat.late', { of: record.host, isLeaving: record.isLeaving, offset });
           return;
         }
-        members.apply(record);
+        if (!members.apply(record)) {
+          options.oddValues.reject('coordination', 'heartbeat.no-place', {
+            of: record.host,
+            offset,
+          });
+          return;
+        }
+        rejectAhead(Object.keys(record.usage).map(Number), offset);
         usage.applyHeartbeat(record);
         return;
       case 'lease':
@@ -100,9 +116,11 @@
         }
         return;
       case 'usage-close':
+        rejectAhead([record.window], offset);
         usage.applyClose(record.window, record.counts);
         return;
       case 'usage-reported':
+        rejectAhead([record.window], offset);
         usage.applyReported(record.window);
         break;
       default:
@@ -229,8 +247,10 @@
     return isOwnDomain ? position : position + OTHER_DOMAIN_RANK_OFFSET;
   };
 
-  const newLease = (subject: string, domain: string | null): LeaseKeeper =>
-    newLeaseKeeper({
+  /** To be called before the records are read. */
+  const newLease = (subject: string, domain: string | null): LeaseKeeper => {
+    followedLeases.add(subject);
+    return newLeaseKeeper({
       clock,
       log,
       leases,
@@ -242,6 +262,7 @@
       rank: () => leaseRankFor(subject, domain),
       isFresh,
     });
+  };
 
   return {
     members,
--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -1,3 +1,5 @@
+import listOf from '@cyclamengate/common/listOf';
+import recordOf from '@cyclamengate/common/recordOf';
 import { z } from 'zod';
 import { headerNameSchema, headerValueSchema, idSchema, pathSchema } from './sendable.js';
 import { MAX_RECORD_BYTES, MAX_RECORDS_PER_APPEND } from './storeLimits.js';
@@ -19,7 +21,7 @@
   .transform((tokens) => Math.min(MAX_EXPECTED_TOKENS, Math.max(0, tokens)))
   .nullable();
 
-const versionsSchema = z.array(z.int()).max(MAX_TEXT_VERSIONS);
+const versionsSchema = listOf(z.int(), MAX_TEXT_VERSIONS);
 
 /** Request to a scoring service for the score of an item's text. */
 export const scoringCallSchema = z.object({
@@ -34,7 +36,7 @@
 export const itemSchema = z.object({
   id: idSchema,
   path: pathSchema,
-  headers: z.record(headerNameSchema, headerValueSchema),
+  headers: recordOf(headerValueSchema, headerNameSchema),
   /** Base64-encoded. */
   body: z.string(),
   /**
@@ -77,7 +79,7 @@
   leastVersion: z.int(),
   /** Number of complete groups that the trainer waits for. */
   wantedGroups: z.int(),
-  items: z.array(itemSchema),
+  items: listOf(itemSchema),
 });
 
 export type Batch = z.infer<typeof batchSchema>;
@@ -105,7 +107,7 @@
 
 /** Location of a text in the store. A text that is larger than one append has further runs. */
 export const textPlaceSchema = runFieldsSchema
-  .extend({ rest: z.array(textRunSchema).max(MAX_RUNS).optional() })
+  .extend({ rest: listOf(textRunSchema, MAX_RUNS).optional() })
   .refine(isFilled, FILLED);
 
 export type TextPlace = z.infer<typeof textPlaceSchema>;
@@ -129,9 +131,9 @@
 export const batchHeadSchema = batchSchema
   .extend({
     type: z.literal('batch-head'),
-    items: z.array(itemHeadSchema).max(MAX_ITEMS),
+    items: listOf(itemHeadSchema, MAX_ITEMS),
     /** Locations of the segments that hold the requests, in order. */
-    segments: z.array(textPlaceSchema).max(MAX_ITEMS),
+    segments: listOf(textPlaceSchema, MAX_ITEMS),
   })
   .refine(
     ({ items, segments }) => items.every(({ segment }) => segment < segments.length),
@@ -187,7 +189,7 @@
   writer: z.string(),
   /** Number of events in the writer's earlier parts. */
   from: z.int().min(0),
-  events: z.array(z.string()),
+  events: listOf(z.string()),
   lastEventId: z.string().nullable(),
   /** Versions of the weights that generated the events so far. */
   versions: versionsSchema,
@@ -200,7 +202,7 @@
 /** A batch that is handed over to another host, with the partial texts of its items. */
 export const handoverSchema = z.object({
   batch: batchSchema,
-  texts: z.array(partSchema),
+  texts: listOf(partSchema),
   /** Incarnation that hands the batch over. */
   from: z.string(),
   /**
