--- a/packages/upstreams/src/newConnections.ts
+++ b/packages/upstreams/src/newConnections.ts
@@ -93,7 +93,10 @@
   };
 
   return {
-    /** @param mustBeNew for a request that must not be sent twice, as an idle connection may be dead */
+    /**
+     * Throws for an address that no connection can be made to.
+     * @param mustBeNew for a request that must not be sent twice, as an idle connection may be dead
+     */
     acquire: (upstream: string, host: string, port: number, mustBeNew: boolean): Connection => {
       const pooled = mustBeNew ? undefined : findIdle(upstream).pop();
       return pooled ?? newConnection(host, port);
