An error while one weight order is placed costs this order alone

What operators would see: a host that ends by an error in the code of an order, since nothing awaits it.

Change: the error is logged as weights.order-broken, and the engine comes after those that answer.

--- a/packages/engines/src/loadWeights.ts
+++ b/packages/engines/src/loadWeights.ts
@@ -126,6 +126,21 @@
       (outcome === 'conflict' ? UNKNOWN_OUTCOME_DELAY_MS / 3 : UNKNOWN_OUTCOME_DELAY_MS);
   };
 
+  /** An error in the code that places an order costs this order alone. */
+  const placeSafely = async (due: DueLoad): Promise<void> => {
+    const { entry, model } = due;
+    try {
+      await place(due);
+    } catch (error) {
+      log.error('weights.order-broken', {
+        upstream: entry.id,
+        model,
+        error: (error as Error).stack,
+      });
+      failedAt.set(entry.id, clock.now());
+    }
+  };
+
   const failureTime = ({ entry }: DueLoad): number => failedAt.get(entry.id) ?? -Infinity;
 
   const startDue = (): void => {
@@ -140,7 +155,7 @@
       .sort((left, right) => compareTimes(failureTime(left), failureTime(right)))
       .slice(0, Math.max(0, maxConcurrentLoads() - pendingLoads.size))
       .forEach((due) => {
-        if (!pendingLoads.has(due.entry.id)) place(due);
+        if (!pendingLoads.has(due.entry.id)) placeSafely(due);
       });
   };
 
--- a/packages/engines/tests/loadWeights.test.ts
+++ b/packages/engines/tests/loadWeights.test.ts
@@ -13,7 +13,7 @@
   const accepted = new Map<string, number>();
   const orders: WeightOrder[] = [];
   const late: WeightOrder[] = [];
-  const faults = { late: 0, unreachable: '' };
+  const faults = { late: 0, unreachable: '', broken: '' };
 
   const carryOut = ({ entry, model, version, afterOrders }: WeightOrder): WeightOrderOutcome => {
     const count = accepted.get(entry.id) ?? 0;
@@ -26,6 +26,7 @@
 
   class FakeOrders extends WeightOrders {
     async countAccepted({ id }: UpstreamEntry): Promise<number | null> {
+      if (id === faults.broken) throw new TypeError('Invalid URL');
       return id === faults.unreachable ? null : (accepted.get(id) ?? 0);
     }
 
@@ -123,3 +124,15 @@
   await end();
   t.deepEqual(['e1', 'e2', 'e3'].map(engines.version), [2, 1, 2]);
 });
+
+test('an order that breaks the code that places it costs its engine alone', async (t) => {
+  // Guards against hosts that end by an error in an order, which nothing awaits.
+  const { clock, engines, end } = startLoading(['e1', 'e2', 'e3']);
+  engines.faults.broken = 'e2';
+  await clock.advance(12_000);
+  t.deepEqual(['e1', 'e2', 'e3'].map(engines.version), [2, 1, 2]);
+  engines.faults.broken = '';
+  await clock.advance(4_000);
+  t.is(engines.version('e2'), 2);
+  await end();
+});
