An error in an attempt of a relay fails its request alone

What operators would see: a host that ends by an error in the attempt of one request, although the relay awaits the attempt; a stream relay that throws left its upstream one request fuller for good.

Cause: the promise of 'finally' beside an awaited one rejects too, and nothing awaits it; the stream relay counted its request out only on return.

Evidence: 'an attempt that breaks the code around it fails its request alone' had an unhandled rejection before; 'a stream that breaks the code around it leaves no load at its upstream' counted 1.

--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -148,9 +148,9 @@
     const startNext = (): Candidate | null => {
       const next = mayStart() ? chooseNext() : null;
       if (!next) return null;
-      const run = start(next);
+      // Only what the race below awaits may reject: nothing awaits a promise made beside it.
+      const run = start(next).finally(() => running.delete(run));
       running.add(run);
-      run.finally(() => running.delete(run));
       return next;
     };
 
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -192,9 +192,10 @@
             timeoutMs: CHUNK_TIMEOUT_MS,
           })
         : null;
-      const end = await runAttempt(next, idle);
-      idle?.end();
-      loads.end(next.entry.id);
+      const end = await runAttempt(next, idle).finally(() => {
+        idle?.end();
+        loads.end(next.entry.id);
+      });
       if (end === 'whole') {
         deadline.end();
         response.end();
--- a/packages/gateway/tests/newPlainRelay.test.ts
+++ b/packages/gateway/tests/newPlainRelay.test.ts
@@ -330,3 +330,13 @@
   const cut = await broken.relay(newRequest(broken.clock, { answerLease: null }), neverAborted);
   t.is(cut.type, 'refusal');
 });
+
+test('an attempt that breaks the code around it fails its request alone', async (t) => {
+  // Guards against hosts that end by an error in an attempt, which nothing awaits.
+  const throwing: Behaviour = async () => {
+    throw new TypeError('Invalid URL');
+  };
+  const { clock, relay, loads } = newTestRelay({ one: throwing });
+  await t.throwsAsync(() => relay(newRequest(clock), neverAborted), { message: 'Invalid URL' });
+  t.is(loads.countLocal('one'), 0);
+});
--- a/packages/gateway/tests/newStreamRelay.test.ts
+++ b/packages/gateway/tests/newStreamRelay.test.ts
@@ -236,3 +236,17 @@
   t.like(await received, { text: event(1) + event(2), isComplete: false });
   t.like(outcomes[0], { type: 'refusal', hasRun: true });
 });
+
+test('a stream that breaks the code around it leaves no load at its upstream', async (t) => {
+  // Guards against an upstream that looks ever fuller, since each error keeps a place of it.
+  const clock = newManualClock();
+  const throwing: Behaviour = async () => {
+    throw new TypeError('Invalid URL');
+  };
+  const upstreams = newUpstreams(clock, { a: throwing });
+  const relay = newStreamRelay({ clock, log: silentLog, ...upstreams });
+  const response = { headersSent: false } as ServerResponse;
+  const { signal } = new AbortController();
+  await t.throwsAsync(() => relay(newRequest(clock), response, signal));
+  t.is(upstreams.loads.countLocal('a'), 0);
+});
