What an engine sends breaks at most the run that reads it

What operators would see: a host that ends by an error in the run of an item, since nothing awaits runs.

Change: such a run ends as broken, with a line; the item is run again elsewhere after a back-off, and the engine counts as failed.

Evidence: 'an answer that breaks its reader fails this run alone' rejected before.

--- a/packages/batches/src/newRunEndHandler.ts
+++ b/packages/batches/src/newRunEndHandler.ts
@@ -52,7 +52,7 @@
     const { item, state } = task;
     const route = routeOf(state);
     if (task.controller.signal.aborted) return;
-    if (end.type !== 'whole') {
+    if (end.type !== 'whole' && end.type !== 'broken') {
       const { type, ...why } = end;
       log.info('item.run-ended', { requestId: item.id, upstream, end: type, ...why });
     }
@@ -64,6 +64,13 @@
       case 'impossible':
         await abandon(task, 'the engine says that it can never be done');
         return;
+      case 'broken':
+        log.error('item.run-broken', { requestId: item.id, upstream, error: end.error });
+        health.recordFailure(upstream, 'unreadable answer');
+        task.failedRuns += 1;
+        task.avoidedUpstream = upstream;
+        repeat(task, 'failed', backoffMs(task));
+        return;
       case 'failed':
         task.failures += end.status === 500 ? 1 : 0;
         task.failedRuns += 1;
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -41,6 +41,8 @@
   | { type: 'no-room'; retryAt: number }
   /** The engine ran the item and failed. */
   | { type: 'failed'; status: number }
+  /** What the engine sent broke the code that reads it. */
+  | { type: 'broken'; error: string }
   /** The engine reports that the item can never succeed. */
   | { type: 'impossible' };
 
@@ -158,7 +160,9 @@
     const end = await stream();
     return end.type === 'whole' && runSignal.aborted ? interrupted(endReason(), findCause()) : end;
   } catch (error) {
-    if (!(error instanceof TruncatedAnswer)) throw error;
+    if (!(error instanceof TruncatedAnswer)) {
+      return { type: 'broken', error: (error as Error).stack ?? '' };
+    }
     return interrupted(`${endReason()}: ${error.message}`, findCause());
   } finally {
     idleTimeout.end();
--- a/packages/batches/tests/newRunEndHandler.test.ts
+++ b/packages/batches/tests/newRunEndHandler.test.ts
@@ -31,10 +31,11 @@
     isFault: false,
   },
   { cause: 'failed', end: { type: 'failed', status: 500 }, isFault: false },
+  { cause: 'failed', end: { type: 'broken', error: 'test' }, isFault: true },
 ];
 
 for (const { cause, end, isFault } of CASES) {
-  test(`a run that is repeated is counted by its cause: ${cause}`, async (t) => {
+  test(`a run that is repeated is counted by its cause: ${cause}, ${end.type}`, async (t) => {
     // A quarter of all runs was repeated, and no count said why.
     const clock = newManualClock();
     const metrics = newMetrics();
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -4,6 +4,7 @@
 import type { UpstreamEntry } from '@cyclamengate/engines/upstreamEntry';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import test from 'ava';
+import type { EventReader } from '../src/EventReader.js';
 import { newProgress } from '../src/progress.js';
 import type { Progress } from '../src/progress.js';
 import runOnce from '../src/runOnce.js';
@@ -21,6 +22,7 @@
   version?: number | null;
   status?: number;
   maxTextBytes?: number;
+  newEventReader?: () => EventReader;
 }
 
 const run = async (
@@ -32,6 +34,7 @@
     version = 1,
     status = 200,
     maxTextBytes = Number.POSITIVE_INFINITY,
+    newEventReader = newLineReader,
   }: RunOptions = {},
 ) => {
   let textBytes = 0;
@@ -71,7 +74,7 @@
   const outcome = await runOnce({
     clock: newManualClock(),
     client: new FakeClient(),
-    newEventReader: newLineReader,
+    newEventReader,
     entry: newEntry('a'),
     progress,
     request: {
@@ -176,3 +179,12 @@
   t.false(read.isToEnd);
   t.deepEqual(progress.events, ['a']);
 });
+
+test('an answer that breaks its reader fails this run alone', async (t) => {
+  // Guards against hosts that end by what an engine sent, in the run of an item, which nothing awaits.
+  const breaking: EventReader = () => {
+    throw new RangeError('Maximum call stack size exceeded');
+  };
+  const { outcome } = await run([eventLine(1, 'a')], { newEventReader: () => breaking });
+  t.is(outcome.type, 'broken');
+});
