Only line feeds and carriage returns end the line of an event's id

What callers would see: after a stream was resumed, events are missing or come twice, if a model wrote a line separator (U+2028) and 'id: 7' into its text.

Cause: with the flag m, ^ and . of a regular expression know more ends of lines than event streams have.

--- a/packages/gateway/src/newEventSplitter.ts
+++ b/packages/gateway/src/newEventSplitter.ts
@@ -1,6 +1,7 @@
 import findEventEnd from '@cyclamengate/engines/findEventEnd';
 
-const ID_LINE = /^id: ?(.*)$/gm;
+/** Only line feeds and carriage returns end a line; data may have other separators. */
+const ID_LINE = /(?<![^\r\n])id: ?([^\r\n]*)/g;
 
 export interface CompleteEvents {
   /** Bytes of the events that are now complete. */
