A resumed stream sends no id that can't be sent

What callers would see: a resumable stream breaks off when its engine fails, and every other engine is avoided for it, if the last event's id holds characters that no header may have, or is longer than heads may be.

Change: such an event is not forwarded; its engine counts as failed, and the stream is resumed after the event before. Streams that can't be resumed are passed on as they are.

Evidence: 'a resumable stream with an id that is no header continues at another upstream' broke off before.

--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -32,6 +32,8 @@
 /** Bytes that a caller has yet to read before its upstream is read on. */
 const MAX_UNSENT_BYTES = 65_536;
 const UNSENT_POLL_MS = 20;
+/** The id of a resumable stream's last event is sent to the next upstream as a header. */
+const EVENT_ID = /^[\x21-\x7e]{1,256}$/;
 /** A partial event is joined to each part that follows. */
 const COPIES_OF_EVENT = 2;
 
@@ -94,6 +96,7 @@
     };
 
     const relayEvents = async (
+      { entry }: Candidate,
       answer: UpstreamAnswer,
       onChunk: () => void,
     ): Promise<AttemptEnd> => {
@@ -113,6 +116,11 @@
           lastReason = 'no memory';
           return 'broken';
         }
+        if (request.isIdempotent && lastId !== null && !EVENT_ID.test(lastId)) {
+          lastReason = 'an event id that is none';
+          health.recordFailure(entry.id, lastReason);
+          return 'broken';
+        }
         lastEventId = lastId ?? lastEventId;
         if (bytes.length > 0) {
           sendHead();
@@ -163,7 +171,7 @@
         return 'failed';
       }
       try {
-        return await relayEvents(answer, () => idle?.reset());
+        return await relayEvents(candidate, answer, () => idle?.reset());
       } catch (error) {
         if (!(error instanceof TruncatedAnswer)) throw error;
         lastReason = idle?.signal.aborted ? 'silent' : error.message;
--- a/packages/gateway/tests/newStreamRelay.test.ts
+++ b/packages/gateway/tests/newStreamRelay.test.ts
@@ -250,3 +250,33 @@
   await t.throwsAsync(() => relay(newRequest(clock), response, signal));
   t.is(upstreams.loads.countLocal('a'), 0);
 });
+
+test('a resumable stream with an id that is no header continues at another upstream', async (t) => {
+  // Guards against a stream that breaks off, and sound upstreams that are avoided, since what one engine
+  // sent as an id can't be sent to the next.
+  const clock = newManualClock();
+  const odd: Behaviour = async (request, signal) =>
+    (request.lastEventId === null
+      ? answering([event(1), event(2), 'id: \u20ac\ndata: 3\n\n'])
+      : sending(4))(request, signal);
+  const { received, sent } = await relayStream(t, clock, { a: odd, b: odd });
+  const { text, isComplete } = await received;
+  t.is(text, [1, 2, 3, 4].map(event).join(''));
+  t.true(isComplete);
+  t.is(sent[1]?.request.lastEventId, '2');
+});
+
+test('data of an event that looks like an id behind another line separator is none', async (t) => {
+  // Guards against events that are missing after a stream was resumed: what a model writes was taken for
+  // the place where the stream was.
+  const clock = newManualClock();
+  const first = 'id: 1\ndata: a\u2028id: 7\n\n';
+  const crashing: Behaviour = async (request, signal) =>
+    (request.lastEventId === null ? answering([first], { isTruncated: true }) : sending(3))(
+      request,
+      signal,
+    );
+  const { received, sent } = await relayStream(t, clock, { a: crashing, b: crashing });
+  await received;
+  t.is(sent[1]?.request.lastEventId, '1');
+});
