An item takes only events whose ids count them

What callers would see: an item that is never completed, and engines that are avoided one after the other, if its first event has an id that no header can carry, or one beyond which none can be counted.

Cause: the id of the first event of a text was not looked at, and it is what each later run resumes after.

Evidence: seven kinds of ids were taken before by 'an event whose id is no count is not taken'.

--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -25,6 +25,14 @@
 /** Delay before an item is run again for whose text there was no room. */
 const NO_ROOM_RETRY_MS = 500;
 
+const MAX_WORDED_ID_LENGTH = 40;
+/** Ids rise by one and are sent to the next engine as a header. */
+const EVENT_ID = /^\d{1,15}$/;
+
+/** Whether an event comes next after the last one, of which there may be none. */
+const isNextEvent = (id: string, lastId: string | null): boolean =>
+  EVENT_ID.test(id) && (lastId === null || Number(id) === Number(lastId) + 1);
+
 export type InterruptionCause = Extract<RepeatCause, 'moved' | 'silent' | 'cut' | 'version'>;
 
 /** Outcome of one run of an item on one engine. */
@@ -106,9 +114,10 @@
       if (events.length > 0) lastAt = clock.now();
       for (const event of events) {
         version = event.version ?? version;
-        const expected = Number(progress.lastEventId ?? 0) + 1;
-        const isNext = progress.lastEventId === null || Number(event.id) === expected;
-        if (!isNext) return interrupted(`event ${event.id} instead of ${expected}`, 'cut');
+        if (!isNextEvent(event.id, progress.lastEventId)) {
+          const id = event.id.slice(0, MAX_WORDED_ID_LENGTH);
+          return interrupted(`event ${id} after ${progress.lastEventId}`, 'cut');
+        }
         if (version === null || !isVersionAllowed(version)) {
           return interrupted(`version ${version} is not allowed`, 'version');
         }
--- a/packages/batches/tests/runOnce.test.ts
+++ b/packages/batches/tests/runOnce.test.ts
@@ -188,3 +188,14 @@
   const { outcome } = await run([eventLine(1, 'a')], { newEventReader: () => breaking });
   t.is(outcome.type, 'broken');
 });
+
+['', '1e308', '-1', '1.5', '0x1', '\u20ac', '9'.repeat(400)].forEach((id) => {
+  test(`an event whose id is no count is not taken: ${id.slice(0, 8)}`, async (t) => {
+    // Guards against a text that no engine can continue, since the id is sent to the next one as a header:
+    // each engine would be asked in vain, and avoided for it.
+    const readOdd: EventReader = () => [{ id, data: 'a', version: null }];
+    const { outcome, progress } = await run(['x'], { newEventReader: () => readOdd });
+    t.like(outcome, { type: 'interrupted', cause: 'cut' });
+    t.is(progress.lastEventId, null);
+  });
+});
