--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -104,6 +104,7 @@
     clock,
     log,
     metrics,
+    oddValues,
     settings,
     settingsView,
     loads,
--- a/apps/host/src/newUpstreamAccess.ts
+++ b/apps/host/src/newUpstreamAccess.ts
@@ -4,6 +4,7 @@
 import type { Homes } from '@cyclamengate/common/homes';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
+import type { OddValues } from '@cyclamengate/common/newOddValues';
 import newAnswerGuard from '@cyclamengate/engines/newAnswerGuard';
 import newColdGuard from '@cyclamengate/engines/newColdGuard';
 import newColdLimits from '@cyclamengate/engines/newColdLimits';
@@ -34,6 +35,7 @@
   clock: Clock;
   log: EventLog;
   metrics: Metrics;
+  oddValues: OddValues;
   settings: Pick<HostSettings, 'host' | 'failureDomain' | 'regions' | 'shares'>;
   settingsView: SettingsView;
   loads: Loads;
@@ -45,7 +47,7 @@
 
 /** What this host knows of the upstreams, and how it sends requests to them. */
 const newUpstreamAccess = (options: UpstreamAccessOptions) => {
-  const { clock, log, metrics, settings, settingsView, loads, readHostLoads } = options;
+  const { clock, log, metrics, oddValues, settings, settingsView, loads, readHostLoads } = options;
   const { host, failureDomain, regions, shares } = settings;
   const directory = newDirectory(clock, log);
   const evacuations = newEvacuations({ clock, log });
@@ -78,9 +80,11 @@
       newAnswerGuard({
         log,
         metrics,
-        client: newHttpUpstreamClient(clock, connections, (part) =>
-          metrics.count(part === 'report' ? 'load_reports_invalid' : 'load_paces_invalid'),
-        ),
+        client: newHttpUpstreamClient(clock, connections, (part, upstream) => {
+          if (part === 'report') metrics.count('load_reports_invalid');
+          if (part === 'pace') metrics.count('load_paces_invalid');
+          oddValues.reject('answers', 'answer.unreadable', { upstream, part });
+        }),
       }),
       coldLimits,
     ),
--- a/packages/common/src/newOddValues.ts
+++ b/packages/common/src/newOddValues.ts
@@ -12,6 +12,7 @@
   | 'versions'
   | 'evacuations'
   | 'upstreams'
+  | 'answers'
   | 'crashes'
   | 'coordination'
   | 'batches'
