--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -105,6 +105,7 @@
     clock,
     log,
     metrics,
+    oddValues,
     settings,
     settingsView,
     loads,
--- a/packages/batches/src/runOnce.ts
+++ b/packages/batches/src/runOnce.ts
@@ -25,6 +25,14 @@
 /** Delay before an item is run again for whose text there was no room. */
 const NO_ROOM_RETRY_MS = 500;
 
+const MAX_WORDED_ID_LENGTH = 40;
+/** Ids rise by one and are sent to the next engine as a header. */
+const EVENT_ID = /^\d{1,15}$/;
+
+/** Whether an event comes next after the last one, of which there may be none. */
+const isNextEvent = (id: string, lastId: string | null): boolean =>
+  EVENT_ID.test(id) && (lastId === null || Number(id) === Number(lastId) + 1);
+
 export type InterruptionCause = Extract<RepeatCause, 'moved' | 'silent' | 'cut' | 'version'>;
 
 /** Outcome of one run of an item on one engine. */
@@ -41,6 +49,8 @@
   | { type: 'no-room'; retryAt: number }
   /** The engine ran the item and failed. */
   | { type: 'failed'; status: number }
+  /** What the engine sent broke the code that reads it. */
+  | { type: 'broken'; error: string }
   /** The engine reports that the item can never succeed. */
   | { type: 'impossible' };
 
@@ -104,9 +114,10 @@
       if (events.length > 0) lastAt = clock.now();
       for (const event of events) {
         version = event.version ?? version;
-        const expected = Number(progress.lastEventId ?? 0) + 1;
-        const isNext = progress.lastEventId === null || Number(event.id) === expected;
-        if (!isNext) return interrupted(`event ${event.id} instead of ${expected}`, 'cut');
+        if (!isNextEvent(event.id, progress.lastEventId)) {
+          const id = event.id.slice(0, MAX_WORDED_ID_LENGTH);
+          return interrupted(`event ${id} after ${progress.lastEventId}`, 'cut');
+        }
         if (version === null || !isVersionAllowed(version)) {
           return interrupted(`version ${version} is not allowed`, 'version');
         }
@@ -158,7 +169,9 @@
     const end = await stream();
     return end.type === 'whole' && runSignal.aborted ? interrupted(endReason(), findCause()) : end;
   } catch (error) {
-    if (!(error instanceof TruncatedAnswer)) throw error;
+    if (!(error instanceof TruncatedAnswer)) {
+      return { type: 'broken', error: (error as Error).stack ?? '' };
+    }
     return interrupted(`${endReason()}: ${error.message}`, findCause());
   } finally {
     idleTimeout.end();
