An error that no code expects costs its call or connection, or ends the host drained

What was seen: an unhandled rejection or uncaught exception ended a host at that moment, with the open requests of all its callers, no line in its log, batches not handed over and leases not released. A task that threw ended it the same way, after one line.

Cause: nothing stood last; Node.js ends a process at the first such error.

Change: newUncaughtErrors handles both from the program's first instruction on, with a bounded line (process.error) and a counter; newErrorPolicy decides. A rejected promise and an exception in an event of one connection cost themselves alone; the error of a task, any other exception, and more than 20 errors in 10 s end the host as a planned stop does, with status 1; a second one meanwhile ends it at once. An item, an append, a takeover and a handler that fail so go on by themselves: each stood still before.

Evidence: uncaughtErrors.process.test.ts, six tests: all failed before (the process was gone), all pass now. Unit tests of runner (2), writer, takeovers and handler failed before, pass now.

--- a/apps/host/src/main.ts
+++ b/apps/host/src/main.ts
@@ -1,9 +1,14 @@
-import startProgram from '@cyclamengate/common/startProgram';
-import readYamlFile from '@cyclamengate/settings/readYamlFile';
-import { hostSettingsSchema } from './hostSettings.js';
-import newHost from './newHost.js';
+import handleEarlySignals from '@cyclamengate/common/handleEarlySignals';
+import newUncaughtErrors from '@cyclamengate/common/newUncaughtErrors';
 
-startProgram('cyclamengate-host', async (path) => {
-  const settings = await readYamlFile(path, hostSettingsSchema);
-  return settings.ok ? newHost(settings.val).start() : settings.val;
-});
+// Before all else is loaded, which takes a while.
+handleEarlySignals();
+const errors = newUncaughtErrors();
+
+const run = async (): Promise<void> => {
+  const { default: runHost } = await import('./runHost.js');
+  await runHost(errors);
+};
+
+// A failed start is an error that nothing else handles, and ends the process.
+void run();
--- a/apps/host/src/newBatchStore.ts
+++ b/apps/host/src/newBatchStore.ts
@@ -211,15 +211,15 @@
     checkStoreAccess,
     /** Begins a batch that the store does not have yet, and writes it there. */
     begin: (batch: Batch): void => {
-      if (batches.begin(batch)) storeBegunBatch(batch, null);
+      if (batches.begin(batch)) void storeBegunBatch(batch, null);
     },
     /** Takes room for the requests of a batch; @returns whether this host can hold them. */
     hold: (batch: Batch): boolean => heldRequests.hold(batch.id, batch.items),
     /** Takes over a batch from another host and continues from the partial texts sent with it. */
     takeOver: ({ batch, texts: handedTexts, from }: Handover): void => {
       handedTexts.forEach(partTexts.apply);
-      if (batches.begin(batch)) storeBegunBatch(batch, from);
-      else if (batches.takeOver(batch)) recordTakeover(batch, from);
+      if (batches.begin(batch)) void storeBegunBatch(batch, from);
+      else if (batches.takeOver(batch)) void recordTakeover(batch, from);
     },
     texts,
     requests,
--- a/apps/host/src/newDrain.ts
+++ b/apps/host/src/newDrain.ts
@@ -1,4 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
+import describeError from '@cyclamengate/common/describeError';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import withDeadline from '@cyclamengate/common/withDeadline';
 import type { Departure } from './newDeparture.js';
@@ -34,19 +35,30 @@
     }
   };
 
+  /** The host may stop because what it leaves is broken; its open requests are finished all the same. */
+  const tryLeave = async (): Promise<boolean> => {
+    try {
+      await leave();
+      return true;
+    } catch (error) {
+      log.error('process.leave-failed', { ...describeError(error) });
+      return false;
+    }
+  };
+
   return async (): Promise<void> => {
     const startedAt = clock.now();
     departure.begin();
     log.info('process.stopping', { open: openRequests(), items: runningItems() });
     // Peers behind a partition answer nothing, and are asked for longer than the shutdown may take.
-    const left = await withDeadline(clock, leave(), departure.endsAt());
+    const left = await withDeadline(clock, tryLeave(), departure.endsAt());
     await clock.sleepUntil(startedAt + MIN_DRAIN_MS);
     // Each of them may bring one more request, at any time.
     closeIdle();
     await waitForRequests();
     const open = openRequests();
     departure.close();
-    log.info('process.stopped', { open, hasLeft: left !== null });
+    log.info('process.stopped', { open, hasLeft: left === true });
     close();
     await clock.sleepUntil(clock.now() + POLL_INTERVAL_MS);
   };
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -19,6 +19,7 @@
 import newOddValues from '@cyclamengate/common/newOddValues';
 import newSystemClock from '@cyclamengate/common/newSystemClock';
 import newTaskGroup from '@cyclamengate/common/newTaskGroup';
+import type { UncaughtErrors } from '@cyclamengate/common/newUncaughtErrors';
 import type { RunningProgram } from '@cyclamengate/common/startProgram';
 import newAllowedLags from '@cyclamengate/engines/newAllowedLags';
 import newEngineAssigner from '@cyclamengate/engines/newEngineAssigner';
@@ -52,7 +53,7 @@
 };
 
 /** One host: serves callers, runs batches, and runs the tasks whose leases it holds. */
-const newHost = (settings: HostSettings) => {
+const newHost = (settings: HostSettings, errors: UncaughtErrors) => {
   const { host, failureDomain, regions, terms, processor } = settings;
   const cores = processor.cores * processor.share;
   const incarnation = newId(host);
@@ -68,10 +69,8 @@
     limits: computeMemoryLimits(settings.memory.limitMb),
     collect: newGarbageCollector(),
   });
-  const tasks = newTaskGroup((task, error) => {
-    log.error('process.broken', { task, error: (error as Error).stack });
-    throw error;
-  });
+  errors.reportTo({ log, metrics });
+  const tasks = newTaskGroup(errors.failTask);
   const departure = newDeparture(clock, terms.shutdownSeconds * MS_PER_SECOND);
   const { isLeaving } = departure;
 
@@ -345,8 +344,11 @@
     openRequests: servers.openRequestCount,
     runningItems: runner.running,
     leave: async () => {
-      await runner.handOver('stopped');
-      await Promise.all([duties.releaseLeases(), coordination.writeHeartbeat()]);
+      try {
+        await runner.handOver('stopped');
+      } finally {
+        await Promise.all([duties.releaseLeases(), coordination.writeHeartbeat()]);
+      }
     },
     closeIdle: servers.closeIdle,
     close: servers.close,
--- a/apps/host/tests/newDrain.test.ts
+++ b/apps/host/tests/newDrain.test.ts
@@ -42,6 +42,21 @@
   t.true(state.endedAt !== null && state.endedAt < SHUTDOWN_MS);
 });
 
+test('a host that fails to hand its work over still finishes its open requests', async (t) => {
+  // Guards against callers that lose their requests, since the host stops because what it hands over is
+  // broken.
+  let open = 1;
+  const { clock, state } = newTestDrain(
+    () => Promise.reject(new Error('broken')),
+    () => open,
+  );
+  await clock.advance(5_000);
+  t.is(state.endedAt, null);
+  open = 0;
+  await clock.advance(500);
+  t.true(state.endedAt !== null);
+});
+
 test('a host that has nothing open ends as soon as no new connections come', async (t) => {
   const { clock, state } = newTestDrain(async () => {});
   await clock.advance(SHUTDOWN_MS);
--- a/apps/host/tests/testSystem.ts
+++ b/apps/host/tests/testSystem.ts
@@ -5,10 +5,10 @@
 const DOMAINS = ['detroit', 'cleveland'];
 
 /** A stand-in platform with engines, and hosts in both failure domains. */
-export const newSystem = async (enginesPerDomain = 2, count = 3) => {
+export const newSystem = async (enginesPerDomain = 2, count = 3, nodeFlags: string[] = []) => {
   const platform = await newPlatform({ domains: DOMAINS, enginesPerDomain });
   const domains = Array.from({ length: count }, (_, index) => DOMAINS[index % 2] ?? 'detroit');
-  const system = await newHosts(platform, domains);
+  const system = await newHosts(platform, domains, undefined, {}, nodeFlags);
   const close = async (): Promise<void> => {
     await system.close();
     await platform.close();
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,3 +1,4 @@
+import { fileURLToPath } from 'node:url';
 import js from '@eslint/js';
 import { configs, plugins } from 'eslint-config-airbnb-extended';
 import prettier from 'eslint-config-prettier';
@@ -25,12 +26,47 @@
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       // House style: factory functions close over their state, so methods need no `this`.
       'class-methods-use-this': 'off',
+      // `void` marks a promise that nobody awaits (below).
+      'no-void': ['error', { allowAsStatement: true }],
       // The fold moves one shared state forward in place; copying it for each record costs too much.
       'no-param-reassign': ['error', { props: false }],
     },
   },
   {
-    files: ['**/startProgram.ts', '**/newDaemon.ts', 'apps/*/src/main.ts', '**/newLogSession.ts'],
+    // The parts of a host. `void` says that nobody awaits a promise: it can't be rejected, or its error
+    // costs one call alone and is reported by newUncaughtErrors.
+    files: [
+      'packages/{batches,common,engines,gateway,hosts,store,upstreams}/src/*.ts',
+      'platform/src/*.ts',
+      'apps/host/src/*.ts',
+    ],
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: fileURLToPath(new URL('.', import.meta.url)),
+      },
+    },
+    rules: { '@typescript-eslint/no-floating-promises': 'error' },
+  },
+  {
+    // Not yet looked through.
+    files: [
+      'packages/batches/src/{newPeerCalls,newTrialClaims}.ts',
+      'packages/engines/src/loadWeights.ts',
+      'packages/gateway/src/newPlainRelay.ts',
+      'platform/src/newHttpUpstreamClient.ts',
+    ],
+    rules: { '@typescript-eslint/no-floating-promises': 'off' },
+  },
+  {
+    files: [
+      '**/startProgram.ts',
+      '**/newUncaughtErrors.ts',
+      '**/handleEarlySignals.ts',
+      '**/newDaemon.ts',
+      'apps/*/src/main.ts',
+      '**/newLogSession.ts',
+    ],
     // A program's frame is where a process ends.
     rules: { 'n/no-process-exit': 'off' },
   },
@@ -39,6 +75,11 @@
     // Nothing else runs yet, and asynchronous reads would start threads for it.
     rules: { 'n/no-sync': 'off' },
   },
+  {
+    files: ['packages/common/src/newUncaughtErrors.ts'],
+    // The process ends right after the line.
+    rules: { 'n/no-sync': 'off' },
+  },
   {
     files: ['scripts/writeCodeCache.js'],
     // The host that it runs keeps the process from ending by itself.
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -24,6 +24,7 @@
 import newItemDescriber from './newItemDescriber.js';
 import newItemFinisher from './newItemFinisher.js';
 import newItemMover from './newItemMover.js';
+import newItemRetry from './newItemRetry.js';
 import newItemRunner from './newItemRunner.js';
 import newItemScopes from './newItemScopes.js';
 import type { ItemScorer } from './newItemScorer.js';
@@ -106,7 +107,7 @@
     write,
     writeText,
   });
-  const takeovers = newTakeovers({ clock, isOwner, readParts });
+  const takeovers = newTakeovers({ clock, log, isOwner, readParts });
   const isAssigned = newAssignment({ ...options, takeovers });
   const refusals = newRefusals(clock);
   const notifier = newNotifier(clock);
@@ -141,6 +142,7 @@
     mayWork,
   });
 
+  const retryIfBroken = newItemRetry(clock, log);
   const repeats = newRepeatCounter(options.metrics);
   const textRoom = newTextRoom(memory);
   const runItem = newItemRunner({
@@ -169,7 +171,7 @@
 
   const abandonExpired = (task: ItemTask): boolean => {
     if (!isExpired(task.state, routeOf(task.state))) return false;
-    abandon(task, 'kept as long as it may be');
+    void retryIfBroken(task, abandon(task, 'kept as long as it may be'));
     return true;
   };
 
@@ -202,7 +204,7 @@
             task &&
             refusals.mayStart(candidate.entry.id, task.state.batch.model) &&
             textRoom.mayBegin(task);
-          if (isAllowed) runItem(task, candidate);
+          if (isAllowed) void retryIfBroken(task, runItem(task, candidate));
         },
       );
     });
@@ -210,8 +212,8 @@
   /** Resumes items whose text is complete, as far as the view and the log currently allow it. */
   const finishCompleted = (): void =>
     tasks.all().forEach((task) => {
-      if (task.phase === 'unscored') score(task);
-      if (task.phase === 'unwritten') resume(task);
+      if (task.phase === 'unscored') void retryIfBroken(task, score(task));
+      if (task.phase === 'unwritten') void retryIfBroken(task, resume(task));
     });
 
   /**
--- a/packages/batches/src/newBatchWriter.ts
+++ b/packages/batches/src/newBatchWriter.ts
@@ -41,7 +41,7 @@
   const beginUnstored = (record: BatchChange): boolean => {
     if (record.type !== 'batch') return false;
     log.warn('batch.begun-unkept', { batch: record.id, model: record.model, step: record.step });
-    begin(record);
+    void begin(record);
     return true;
   };
 
--- a/packages/batches/src/newItemRunner.ts
+++ b/packages/batches/src/newItemRunner.ts
@@ -10,7 +10,7 @@
 import newItemRequest from './newItemRequest.js';
 import type { Refusals } from './newRefusals.js';
 import type { RepeatCounter } from './newRepeatCounter.js';
-import type { RequestReader } from './newRequestReader.js';
+import type { LoadedRequest, RequestReader } from './newRequestReader.js';
 import type { Reservations } from './newReservations.js';
 import newRunEndHandler from './newRunEndHandler.js';
 import type { RunEndHandlerOptions } from './newRunEndHandler.js';
@@ -91,7 +91,7 @@
       run: task.runs,
     });
     const room = textRoom.begin(task);
-    const loaded = room && (await requests.load(state, item.id));
+    let loaded: LoadedRequest | null = null;
     const run = async (request: ItemRequest, holdText: RunRoom['hold']): Promise<RunEnd> =>
       runOnce({
         clock,
@@ -109,14 +109,17 @@
         onAccepted: () => refusals.clear(entry.id, batch.model),
         signal: AbortSignal.any([task.controller.signal, runController.signal]),
       });
-    const end: RunEnd = loaded
-      ? await run(loaded.request, room.hold)
-      : { type: 'unread', retryAt: clock.now() + UNREAD_RETRY_MS };
-    loaded?.release();
-    room?.end(end.type === 'whole');
+    let end: RunEnd = { type: 'unread', retryAt: clock.now() + UNREAD_RETRY_MS };
+    try {
+      loaded = room && (await requests.load(state, item.id));
+      if (loaded && room) end = await run(loaded.request, room.hold);
+    } finally {
+      loaded?.release();
+      room?.end(end.type === 'whole');
+      loads.end(entry.id);
+      task.upstream = null;
+    }
     if (end.type === 'no-room') dropText(task);
-    loads.end(entry.id);
-    task.upstream = null;
     if (end.type !== 'whole') discardUnusable(task, isSingleVersion);
     await handleRunEnd(task, entry.id, end);
   };
--- a/packages/batches/src/newPartSaver.ts
+++ b/packages/batches/src/newPartSaver.ts
@@ -26,8 +26,9 @@
     if (count === savedEvents && isWhole === task.isCompletionSaved) return;
     task.isSaving = true;
     const part = newPart(task, writer, savedEvents);
-    const outcome = await write(part, clock.now() + WRITE_TIMEOUT_MS);
-    task.isSaving = false;
+    const outcome = await write(part, clock.now() + WRITE_TIMEOUT_MS).finally(() => {
+      task.isSaving = false;
+    });
     if (task.progress !== progress) return;
     // Whether an unacknowledged part was written is unknown, so the next part starts at the
     // beginning of the text.
--- a/packages/batches/src/newRequestReader.ts
+++ b/packages/batches/src/newRequestReader.ts
@@ -95,8 +95,7 @@
     state: BatchState,
     place: TextPlace,
   ): Promise<ReadSegment | null> => {
-    const segment = await readSegment(place);
-    pendingReads.delete(key);
+    const segment = await readSegment(place).finally(() => pendingReads.delete(key));
     if (segment === null) {
       retryAt.set(key, clock.now() + RETRY_DELAY_MS);
       log.warn('batch.requests-unread', { segment: key, bytes: textBytes(place) });
@@ -171,7 +170,7 @@
       if (state.requests || others.length > 0) return true;
       if (!place || cache.has(`${state.batch.id}/0`)) return place !== undefined;
       if (!isCacheable(place)) return true;
-      startRead(state, 0);
+      void startRead(state, 0);
       return false;
     },
     /** Discards the requests of a batch that has ended or of which all items are finished. */
--- a/packages/batches/src/newTextReader.ts
+++ b/packages/batches/src/newTextReader.ts
@@ -149,7 +149,7 @@
       until + CALL_GRACE_MS,
     );
     if (outcome) return outcome;
-    clock
+    void clock
       .sleepUntil(clock.now() + ABANDONED_CALL_TIMEOUT_MS)
       .then(() => abandoned.abort(new Error('late')));
     return { type: 'over', fault: 'late' };
--- a/packages/batches/tests/newAssignment.test.ts
+++ b/packages/batches/tests/newAssignment.test.ts
@@ -4,13 +4,18 @@
 import newBatches from '../src/newBatches.js';
 import newPartialTexts from '../src/newPartialTexts.js';
 import newTakeovers from '../src/newTakeovers.js';
-import { newBatch, newItem } from './helpers.js';
+import { newBatch, newItem, silentLog } from './helpers.js';
 
 const newHost = (incarnation: string, isOwner: boolean) => {
   const clock = newManualClock();
   const live = new Set(['owner', 'executor']);
   const batches = newBatches({ clock, retentionMs: 120_000, parts: newPartialTexts(clock) });
-  const takeovers = newTakeovers({ clock, isOwner: () => isOwner, readParts: async () => {} });
+  const takeovers = newTakeovers({
+    clock,
+    log: silentLog,
+    isOwner: () => isOwner,
+    readParts: async () => {},
+  });
   const isLive = (otherIncarnation: string): boolean => live.has(otherIncarnation);
   const left = new Set<string>();
   const hasLeft = (host: string): boolean => left.has(host);
--- a/packages/batches/tests/newBatchRunner.test.ts
+++ b/packages/batches/tests/newBatchRunner.test.ts
@@ -29,6 +29,24 @@
   await close();
 });
 
+const BROKEN_CALLS = ['brokenSends', 'brokenScores'] as const;
+
+BROKEN_CALLS.forEach((kind) => {
+  test(`an item whose work fails by an error that no code expects goes on (${kind})`, async (t) => {
+    // Guards against an item that is never listed: it stays in a phase in which it is worked on, and its
+    // engine's slot stays taken.
+    const { clock, batches, state, observed, close } = newRunnerHost();
+    state[kind] = 1;
+    batches.apply(newBatch('b', [newItem('1', { scoring })]));
+    await clock.advance(500);
+    t.deepEqual(observed.results, []);
+    await clock.advance(2_000);
+    t.is(observed.results[0]?.score, 'good');
+    t.is(observed.runs.length, kind === 'brokenSends' ? 2 : 1);
+    await close();
+  });
+});
+
 test('a result is not written before its batch is in the log', async (t) => {
   // The batch was begun while the store was unavailable. Hosts ignore a result of a batch that they
   // do not know yet.
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -62,6 +62,9 @@
     candidates: [newCandidate('a')],
     newestVersion: 1,
     engineVersion: 1,
+    /** Calls of the next kind that throw instead. */
+    brokenSends: 0,
+    brokenScores: 0,
   };
   /** Lets a slow engine continue when aborted. */
   const resumeEngine = new AbortController();
@@ -86,6 +89,10 @@
       signal: AbortSignal,
     ): Promise<UpstreamOutcome> {
       observed.runs.push(request.requestId);
+      if (state.brokenSends > 0) {
+        state.brokenSends -= 1;
+        throw new Error('broken');
+      }
       observed.upstreams.push(id);
       const head = { status: 200, headers: {}, signature: 's', load: null };
       return {
@@ -130,6 +137,10 @@
     paces: { record: () => {} },
     scorer: async ({ id }) => {
       observed.scored.push(id);
+      if (state.brokenScores > 0) {
+        state.brokenScores -= 1;
+        throw new Error('broken');
+      }
       return { type: 'score', score: 'good' };
     },
     readSettings: view.read,
--- a/packages/batches/tests/newTakeovers.test.ts
+++ b/packages/batches/tests/newTakeovers.test.ts
@@ -1,6 +1,7 @@
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
 import test from 'ava';
 import newTakeovers from '../src/newTakeovers.js';
+import { silentLog } from './helpers.js';
 
 const newFixture = (isOwner: (subject: string) => boolean) => {
   const clock = newManualClock();
@@ -9,7 +10,7 @@
     new Promise<void>((resolve) => {
       reads.push(resolve);
     });
-  return { reads, takeovers: newTakeovers({ clock, isOwner, readParts }) };
+  return { reads, takeovers: newTakeovers({ clock, log: silentLog, isOwner, readParts }) };
 };
 
 test("a host reads the previous owner's texts once before it starts", async (t) => {
@@ -38,3 +39,22 @@
   t.false(takeovers.mayBegin('x', null));
   t.is(reads.length, 2);
 });
+
+test('a takeover whose read fails by an error that no code expects is prepared anew', async (t) => {
+  // Guards against items that never begin, since the host waits for a read that has failed.
+  let isBroken = true;
+  const takeovers = newTakeovers({
+    clock: newManualClock(),
+    log: silentLog,
+    isOwner: () => true,
+    readParts: async () => {
+      if (isBroken) throw new Error('broken');
+    },
+  });
+  t.false(takeovers.mayBegin('x', null));
+  await new Promise(setImmediate);
+  isBroken = false;
+  t.false(takeovers.mayBegin('x', null));
+  await new Promise(setImmediate);
+  t.true(takeovers.mayBegin('x', null));
+});
--- a/packages/common/src/handler.ts
+++ b/packages/common/src/handler.ts
@@ -29,13 +29,14 @@
 
 /**
  * Wraps an async handler for polka, which does not catch rejections: the caller would wait without
- * an answer and the unhandled rejection would stop the process. A rejection is reported to
- * `onError` and answered with status 500.
+ * an answer. A rejection, and what the handler throws before its first wait, is reported to `onError` and
+ * answered with status 500.
  */
 export const handler =
   (onError: (error: unknown) => void, handle: AsyncHandler) =>
   (request: HandlerRequest, response: ServerResponse): void => {
-    handle(request, response).catch((error: unknown) => {
+    const run = async (): Promise<void> => handle(request, response);
+    run().catch((error: unknown) => {
       onError(error);
       sendJson(response, 500, { error: { code: 'internal', outcome: 'unknown' } });
       if (!response.writableEnded) response.destroy();
--- a/packages/common/src/newDeadlineSignal.ts
+++ b/packages/common/src/newDeadlineSignal.ts
@@ -9,7 +9,7 @@
 const newDeadlineSignal = (clock: Clock, deadline: number): DeadlineSignal => {
   const controller = new AbortController();
   const ended = new AbortController();
-  clock.sleepUntil(deadline, ended.signal).then(() => {
+  void clock.sleepUntil(deadline, ended.signal).then(() => {
     if (!ended.signal.aborted) controller.abort('deadline');
   });
   return { signal: controller.signal, end: (): void => ended.abort('over') };
--- a/packages/common/src/newTaskGroup.ts
+++ b/packages/common/src/newTaskGroup.ts
@@ -9,7 +9,8 @@
 
 /**
  * The long-running tasks of one process. A task ends when the signal aborts. A task that throws has
- * violated an invariant: it is passed to `onFailure`, which stops the process.
+ * violated an invariant: it is passed to `onFailure`, which stops the process. It is not started again,
+ * since what it shares with others may be half changed.
  */
 const newTaskGroup = (onFailure: (name: string, error: unknown) => void): TaskGroup => {
   const controller = new AbortController();
@@ -20,7 +21,7 @@
   const start = (name: string, task: (signal: AbortSignal) => Promise<void>): void => {
     const run = task(controller.signal).catch((error: unknown) => onFailure(name, error));
     running.add(run);
-    run.finally(() => running.delete(run));
+    void run.finally(() => running.delete(run));
   };
 
   return {
--- a/packages/common/src/startProgram.ts
+++ b/packages/common/src/startProgram.ts
@@ -1,4 +1,5 @@
 import { parseArgs } from 'node:util';
+import type { UncaughtErrors } from './newUncaughtErrors.js';
 
 /** Exit statuses: 0 for success, 1 for a failure, 2 for incorrect usage. */
 export const EXIT_FAILED = 1;
@@ -20,7 +21,7 @@
     '',
     `Example: ${program} --settings /etc/cyclamengate/${program}.yaml`,
     '',
-    'TERM or INT drains: running work is finished, no new work is accepted. A second one stops at once.',
+    'TERM or INT drains: running work is finished, no new work is accepted. A second INT stops at once.',
     '',
   ].join('\n');
 
@@ -41,31 +42,56 @@
   return process.exit(EXIT_MISUSED);
 };
 
-const handleSignals = (running: RunningProgram): void => {
-  let isDraining = false;
-  const onSignal = (): void => {
-    if (isDraining) process.exit(EXIT_FAILED);
-    isDraining = true;
-    running.drain().then(
-      () => process.exit(0),
+/** Returns a function that drains the program and ends the process, once, with the highest status given. */
+const newStop = ({ drain }: RunningProgram) => {
+  let status = 0;
+  let isStopping = false;
+  return (withStatus: number): void => {
+    status = Math.max(status, withStatus);
+    if (isStopping) return;
+    isStopping = true;
+    drain().then(
+      () => process.exit(status),
       () => process.exit(EXIT_FAILED),
     );
   };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
 };
 
-/** Runs a daemon: parses its flags, starts it, handles signals and sets the exit status. */
+/** Replaces the handlers of a signal, at no moment without one. */
+const replaceHandlers = (signal: NodeJS.Signals, handle: () => void): void => {
+  const before = process.rawListeners(signal) as (() => void)[];
+  process.on(signal, handle);
+  before.forEach((listener) => process.off(signal, listener));
+};
+
+/** A second TERM changes nothing: requests that were taken are still finished. */
+const handleSignals = (stop: (status: number) => void): void => {
+  let isInterrupted = false;
+  replaceHandlers('SIGTERM', () => stop(0));
+  replaceHandlers('SIGINT', () => {
+    if (isInterrupted) process.exit(EXIT_FAILED);
+    isInterrupted = true;
+    stop(0);
+  });
+};
+
+/**
+ * Runs a daemon: parses its flags, starts it, handles signals and sets the exit status.
+ * @param errors errors that nothing else handles, if the program goes on after some of them
+ */
 const startProgram = async (
   program: string,
   start: (settingsPath: string) => Promise<RunningProgram | string>,
+  errors: UncaughtErrors | null = null,
 ): Promise<void> => {
   const running = await start(readSettingsPath(program));
   if (typeof running === 'string') {
     process.stderr.write(`${program}: ${running}\n`);
     process.exit(EXIT_MISUSED);
   }
-  handleSignals(running);
+  const stop = newStop(running);
+  errors?.drainWith(() => stop(EXIT_FAILED));
+  handleSignals(stop);
 };
 
 export default startProgram;
--- a/packages/engines/src/newIdleTimeout.ts
+++ b/packages/engines/src/newIdleTimeout.ts
@@ -42,7 +42,7 @@
       await sleepUntilCaughtUp(clock, wakeAt, controller.signal);
     }
   };
-  watch();
+  void watch();
   return {
     signal: controller.signal,
     reset: (): void => {
--- a/packages/gateway/src/newPlainAdmissions.ts
+++ b/packages/gateway/src/newPlainAdmissions.ts
@@ -74,11 +74,15 @@
   const refreshWhileWaiting = async (): Promise<void> => {
     if (isRefreshing) return;
     isRefreshing = true;
-    while (hasWaiting()) {
-      await clock.sleepUntil(clock.now() + REFRESH_INTERVAL_MS);
-      admissions.forEach(({ refresh }) => refresh());
+    try {
+      while (hasWaiting()) {
+        await clock.sleepUntil(clock.now() + REFRESH_INTERVAL_MS);
+        admissions.forEach(({ refresh }) => refresh());
+      }
+    } finally {
+      // Otherwise what waits would never be looked at again after an error.
+      isRefreshing = false;
     }
-    isRefreshing = false;
   };
 
   return {
@@ -89,7 +93,7 @@
     ): Promise<Result<T, Refusal>> => {
       const admission = forService(work.service);
       const outcome = admission.run(work, start, signal);
-      if (admission.countWaiting() > 0) refreshWhileWaiting();
+      if (admission.countWaiting() > 0) void refreshWhileWaiting();
       return outcome;
     },
     computeReturnMs: (work: Work): number => forService(work.service).computeReturnMs(work),
--- a/packages/store/src/newStoreWriter.ts
+++ b/packages/store/src/newStoreWriter.ts
@@ -1,4 +1,5 @@
 import type Clock from '@cyclamengate/common/Clock';
+import describeError from '@cyclamengate/common/describeError';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type Store from './Store.js';
 import type { Producer } from './Store.js';
@@ -156,12 +157,24 @@
     }
   };
 
+  /** An error costs the writes of its own group; the ones after it would wait forever otherwise. */
+  const trySend = async (group: Write[]): Promise<void> => {
+    try {
+      await send(group);
+    } catch (error) {
+      // The store may have the records under this number, and would take others for the same ones.
+      epoch += 1;
+      log.error('store.append-broken', { topic, ...describeError(error) });
+      group.forEach(({ settle }) => settle({ outcome: 'unknown', offset: null }));
+    }
+  };
+
   const run = async (): Promise<void> => {
     if (isRunning) return;
     isRunning = true;
     while (queue.length > 0) {
       queue = settleExpired(queue, 'not-written');
-      await send(takeGroup());
+      await trySend(takeGroup());
     }
     isRunning = false;
   };
@@ -169,7 +182,7 @@
   const enqueue = (records: Buffer[], deadline: number): Promise<WriteResult> =>
     new Promise((settle) => {
       queue.push({ records, deadline, settle });
-      run();
+      void run();
     });
 
   /**
--- a/packages/store/src/newTrimmer.ts
+++ b/packages/store/src/newTrimmer.ts
@@ -38,7 +38,7 @@
     trimPoints = trimPoints.filter(({ deadline }) => deadline >= now);
     trimPoints.push({ offset, deadline: now + retentionMs });
     const newest = expired.at(-1);
-    if (newest) trim(newest.offset);
+    if (newest) void trim(newest.offset);
   };
 };
 
--- a/packages/store/tests/newStoreWriter.test.ts
+++ b/packages/store/tests/newStoreWriter.test.ts
@@ -159,3 +159,29 @@
   await clock.advance(2_000);
   t.is(await outcome, 'not-written');
 });
+
+test('an append that fails by an error that no code expects costs only its own records', async (t) => {
+  // Guards against a host that writes nothing any more: no append follows, and no caller is answered. The
+  // store may have the records, so the next ones must not be taken for their repetition.
+  const { clock, memory, writer, texts } = newParts();
+  const view = memory.newView(newNoFaults());
+  const { append } = view;
+  let isBroken = true;
+  view.append = async (...call) => {
+    const answer = await append.call(view, ...call);
+    if (isBroken) throw new Error('broken');
+    return answer;
+  };
+  const broken = newStoreWriter({
+    clock,
+    log: silentLog,
+    store: view,
+    topic: 'work',
+    producer: 'host-2',
+  });
+  t.is(await broken.write([Buffer.from('a')], clock.now() + 5_000), 'unknown');
+  isBroken = false;
+  t.is(await broken.write([Buffer.from('b')], clock.now() + 5_000), 'written');
+  t.is(await writer.write([Buffer.from('c')], clock.now() + 5_000), 'written');
+  t.deepEqual(texts(), ['a', 'b', 'c']);
+});
--- a/packages/upstreams/src/newConnections.ts
+++ b/packages/upstreams/src/newConnections.ts
@@ -67,7 +67,7 @@
   });
   const discard = (): void => {
     if (openSocket && !openSocket.destroyed) openSocket.resetAndDestroy();
-    client.destroy();
+    void client.destroy();
   };
   return {
     client,
