--- a/apps/host/tests/testSystem.ts
+++ b/apps/host/tests/testSystem.ts
@@ -13,11 +13,12 @@
   enginesPerDomain = 2,
   count = 3,
   prepare: (platform: Platform) => void = () => {},
+  nodeFlags: string[] = [],
 ) => {
   const platform = await newPlatform({ domains: DOMAINS, enginesPerDomain });
   prepare(platform);
   const domains = Array.from({ length: count }, (_, index) => DOMAINS[index % 2] ?? 'detroit');
-  const system = await newHosts(platform, domains);
+  const system = await newHosts(platform, domains, undefined, {}, nodeFlags);
   const close = async (): Promise<void> => {
     await system.close();
     await platform.close();
