--- a/packages/batches/tests/oddCalls.test.ts
+++ b/packages/batches/tests/oddCalls.test.ts
@@ -4,12 +4,12 @@
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import { request } from 'undici';
-import { handover, newCaller, newPeer } from './peerHelpers.js';
+import { handover, newCaller, newPeer, watchRejections } from './peerHelpers.js';
 
 const TEST_TIMEOUT_MS = 60_000;
 /** More than any stack bears. */
 const DEPTH = 100_000;
-const MAX_HEAP_GROWTH_BYTES = 300_000_000;
+const MAX_GROWTH_BYTES = 300_000_000;
 
 const nest = (open: string, close: string): string => open.repeat(DEPTH) + close.repeat(DEPTH);
 
@@ -79,12 +79,6 @@
   t.deepEqual([...begun], ['b']);
 };
 
-const watchRejections = (t: ExecutionContext): void => {
-  const note = (error: unknown): void => t.fail(`nobody awaits: ${String(error)}`);
-  process.on('unhandledRejection', note);
-  t.teardown(() => process.off('unhandledRejection', note));
-};
-
 test.serial(
   'an odd call of a peer is answered with an error, and the next one is served',
   async (t) => {
@@ -160,7 +154,7 @@
   const before = process.memoryUsage.rss();
   const status = await callOdd(host.peer.address, '/trpc/begin', body);
   const grown = process.memoryUsage.rss() - before;
-  t.true(grown < MAX_HEAP_GROWTH_BYTES, `${Math.round(grown / 1e6)} MB`);
+  t.true(grown < MAX_GROWTH_BYTES, `${Math.round(grown / 1e6)} MB`);
   t.is(status, 400);
   await checkServes(t, host);
 });
--- a/packages/batches/tests/oddPeers.test.ts
+++ b/packages/batches/tests/oddPeers.test.ts
@@ -5,7 +5,7 @@
 import newMetrics from '@cyclamengate/common/newMetrics';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import { handover, newCaller, newPeer } from './peerHelpers.js';
+import { handover, newCaller, newPeer, watchRejections } from './peerHelpers.js';
 
 const TEST_TIMEOUT_MS = 30_000;
 /** More than any stack bears. */
@@ -68,13 +68,6 @@
   await caller.begin(handover.batch);
 };
 
-/** Fails the test if a promise that nobody awaits rejects, which would end a host. */
-const watchRejections = (t: ExecutionContext): void => {
-  const note = (error: unknown): void => t.fail(`nobody awaits: ${String(error)}`);
-  process.on('unhandledRejection', note);
-  t.teardown(() => process.off('unhandledRejection', note));
-};
-
 const ODD_ADDRESSES = [
   ...['127.0.0.1:99999', '127.0.0.1:0', '999.0.0.1:80', '127.0.0.1', ':', '', '127.0.0.1:-1'],
   ...['127.0.0.1:1e3', 'a b:80', '[::1]:80', '127.0.0.1:9/x?y=', '@127.0.0.1:9', '\0:80'],
@@ -133,7 +126,7 @@
   ],
 };
 
-/** An answer that is right for one call may be odd for another: only what is odd for all is here. */
+/** A value of another type may be right for some of the calls. */
 const isOddForAll = (kind: string): boolean => kind !== 'of another type';
 
 /** Others are calls that the peer refused, or that went elsewhere. */
--- a/packages/batches/tests/peerHelpers.ts
+++ b/packages/batches/tests/peerHelpers.ts
@@ -5,6 +5,7 @@
 import newSystemClock from '@cyclamengate/common/newSystemClock';
 import newTestMemory from '@cyclamengate/fakes/newTestMemory';
 import type { UpstreamCrash } from '@cyclamengate/engines/upstreamCrash';
+import type { ExecutionContext } from 'ava';
 import type { Handover } from '../src/batchRecord.js';
 import newPeers from '../src/newPeers.js';
 import type { Peer } from '../src/newPeers.js';
@@ -100,3 +101,10 @@
   from: 'a-run',
   isSenderCut: false,
 };
+
+/** Fails the test if a promise that nobody awaits rejects, which would end a host. */
+export const watchRejections = (t: ExecutionContext): void => {
+  const note = (error: unknown): void => t.fail(`nobody awaits: ${String(error)}`);
+  process.on('unhandledRejection', note);
+  t.teardown(() => process.off('unhandledRejection', note));
+};
