A host that starts behind an odd record of the operator has the older ones

Cause: a host that starts reads the newest record of each key only, and asks peers only while it can't read the store.

Change: while the newest settings in the store can't be read, peers are asked every second; and a host that knows no older record of that key reads the topic from its oldest record, once.

--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -11,6 +11,7 @@
 import type { Evacuations } from '@cyclamengate/engines/newEvacuations';
 import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
 import newKeyedFollower from '@cyclamengate/store/newKeyedFollower';
+import newTopicFollower from '@cyclamengate/store/newTopicFollower';
 import type Store from '@cyclamengate/store/Store';
 import type { KeyedRecord } from '@cyclamengate/store/Store';
 
@@ -29,6 +30,7 @@
 /** Above the age that two reads give, so that peers are only asked while the store does not answer. */
 const MAX_SETTINGS_AGE_MS = 2_000;
 const PEER_ASK_INTERVAL_MS = 1_000;
+const HISTORY_TIMEOUT_MS = 5_000;
 
 export interface FollowPlatformOptions {
   clock: Clock;
@@ -48,19 +50,31 @@
   const { clock, log, store, settingsView, directory, evacuations, peers } = options;
   const { oddValues, readIntervalFactor } = options;
   const versions = new Map<string, NewestVersion>();
+  /** Whether the newest settings in the store can't be read, so that others may know newer ones. */
+  let areNewestUnreadable = false;
+  /** Whether a record can't be read that an older one may make up for. */
+  let isHistoryNeeded = false;
 
-  const applySettings = (value: Buffer, from: string): void => {
+  /** @returns whether the settings can be read */
+  const applySettings = (value: Buffer, from: string): boolean => {
     const settings = parseOperatorSettings(value);
     if (settings.ok) settingsView.put(settings.val, value.toString());
     else {
       const problems = settings.val.slice(0, 5);
       oddValues.reject('settings', 'settings.unreadable', { from, problems });
     }
+    return settings.ok;
   };
 
-  const applyVersion = (value: Buffer, offset: number): void => {
+  const applyNewestSettings = ({ offset }: KeyedRecord, value: Buffer): void => {
+    areNewestUnreadable = !applySettings(value, `offset ${offset}`);
+    isHistoryNeeded ||= areNewestUnreadable && settingsView.read() === null;
+  };
+
+  const applyVersion = ({ key, offset }: KeyedRecord, value: Buffer): void => {
     const named = parseNamedVersion(value);
     if (!named) {
+      isHistoryNeeded ||= !versions.has(key.slice(VERSION_PREFIX.length));
       oddValues.reject('versions', 'version.unreadable', { offset });
       return;
     }
@@ -74,21 +88,20 @@
     const failureDomain = key.slice(EVACUATION_PREFIX.length);
     const isReadable = value === null || isEvacuationRecord(value);
     if (failureDomain === '' || !isReadable) {
+      isHistoryNeeded ||= failureDomain !== '' && !evacuations.isKnown(failureDomain);
       oddValues.reject('evacuations', 'evacuation.unreadable', { failureDomain, offset });
       return;
     }
     evacuations.apply({ failureDomain, isEvacuated: value !== null, offset }, 'store');
   };
 
+  /** Settings and versions only rise, and evacuations know their offsets: none is applied over a newer one. */
   const applyOperatorRecord = (record: KeyedRecord): void => {
-    const { key, value, offset } = record;
-    if (key.startsWith(EVACUATION_PREFIX)) {
-      applyEvacuation(record);
-      return;
-    }
+    const { key, value } = record;
+    if (key.startsWith(EVACUATION_PREFIX)) applyEvacuation(record);
     if (value === null) return;
-    if (key === SETTINGS_KEY) applySettings(value, `offset ${offset}`);
-    else if (key.startsWith(VERSION_PREFIX)) applyVersion(value, offset);
+    if (key === SETTINGS_KEY) applyNewestSettings(record, value);
+    if (key.startsWith(VERSION_PREFIX)) applyVersion(record, value);
   };
 
   const applyUpstream = ({ key, value }: KeyedRecord): void => {
@@ -130,6 +143,29 @@
     onRecovered: directory.startGracePeriod,
   });
 
+  /** The older records of the operator, as far as the store still has them. */
+  const history = newTopicFollower({
+    clock,
+    log,
+    store,
+    topic: OPERATOR_TOPIC,
+    apply: (records) =>
+      records.forEach((record) => {
+        const keyed = store.parseKeyed(record);
+        const { offset } = record;
+        if (keyed) oddValues.apply('settings', { offset }, () => applyOperatorRecord(keyed));
+      }),
+  });
+
+  /**
+   * A host that starts while the newest record can't be read knows no older one. It would never be
+   * ready, take old weights for the newest, or use an evacuated domain.
+   */
+  const readHistory = async (): Promise<void> => {
+    log.warn('settings.history-read', { inForce: settingsView.version() });
+    isHistoryNeeded = !(await history.catchUp(clock.now() + HISTORY_TIMEOUT_MS));
+  };
+
   /** Evacuations first: with its settings a host becomes ready. */
   const learnFromPeers = async (): Promise<void> => {
     const known = await peers.fetchEvacuations();
@@ -142,11 +178,12 @@
    * A host that alone does not reach the store would accept withdrawn keys and use evacuated domains
    * until it does, although its peers know better.
    */
-  const askPeers = async (signal: AbortSignal): Promise<void> => {
+  const askOthers = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       const next = clock.now() + PEER_ASK_INTERVAL_MS;
       const isStale = clock.now() >= operatorFollower.freshAt() + MAX_SETTINGS_AGE_MS;
-      if (isStale) await learnFromPeers();
+      if (isStale || areNewestUnreadable) await learnFromPeers();
+      if (isHistoryNeeded) await readHistory();
       await clock.sleepUntil(next, signal);
     }
   };
@@ -156,7 +193,7 @@
       await Promise.all([
         operatorFollower.run(signal),
         upstreamsFollower.run(signal),
-        askPeers(signal),
+        askOthers(signal),
       ]);
     },
     /** The newest version of a model that its trainer has published; 1 before the first. */
--- a/apps/host/tests/followPlatform.test.ts
+++ b/apps/host/tests/followPlatform.test.ts
@@ -38,9 +38,12 @@
 };
 
 /** A host that follows the store, and a peer whose settings are those of the store. */
-const newFollower = (t: ExecutionContext, readIntervalFactor = 1) => {
+const newFollower = (
+  t: ExecutionContext,
+  readIntervalFactor = 1,
+  memory: ReturnType<typeof newMemoryStore> = newMemoryStore(),
+) => {
   const clock = newManualClock();
-  const memory = newMemoryStore();
   const faults = newNoFaults();
   const settingsView = newSettingsView(silentLog);
   const peerView = newSettingsView(silentLog);
@@ -87,7 +90,7 @@
       });
     }
   };
-  return { clock, memory, faults, settingsView, evacuations, asked, waitFor };
+  return { clock, memory, faults, settingsView, evacuations, asked, waitFor, host };
 };
 
 test('a host that alone does not reach the store learns of a withdrawn key from its peers', async (t) => {
@@ -186,6 +189,65 @@
   t.is(settingsView.version(), 2);
 });
 
+test('a host that starts while the newest records cannot be read has the older ones', async (t) => {
+  // Guards against hosts that are never ready, use an evacuated domain, or take old weights for the
+  // newest, since another program wrote over the operator's record before they started.
+  const memory = newMemoryStore();
+  const putRecord = (key: string, value: string): void => {
+    memory.put('keyed.op', [encodeKeyedBody(key, value)]);
+  };
+  publish(memory, newOperatorSettings(1));
+  publish(memory, newOperatorSettings(2));
+  putEvacuation(memory, '{}');
+  putRecord('evacuate/cleveland', '{}');
+  putRecord('evacuate/cleveland', '');
+  putRecord('version/x', '{"model":"x","version":7}');
+  ['config', 'evacuate/detroit', 'version/x'].forEach((key) => putRecord(key, '{"odd'));
+  const { settingsView, evacuations, host, waitFor } = newFollower(t, 1, memory);
+  await waitFor(() => settingsView.version() === 2);
+  await waitFor(() => evacuations.isEvacuated('detroit'));
+  t.false(evacuations.isEvacuated('cleveland'));
+  t.is(host.newestVersion('x').version, 7);
+  publish(memory, newOperatorSettings(3));
+  await waitFor(() => settingsView.version() === 3);
+});
+
+test('a host whose store has deleted the last readable settings gets them from its peers', async (t) => {
+  // Guards against a host that is never ready, although others have settings in force.
+  const { memory, settingsView, waitFor } = newFollower(t);
+  publish(memory, newOperatorSettings(1));
+  await waitFor(() => settingsView.version() === 1);
+  memory.put('keyed.op', [encodeKeyedBody('config', '{"odd')]);
+  memory.trim('keyed.op', 1);
+  const controller = new AbortController();
+  t.teardown(() => controller.abort());
+  const clock = newManualClock();
+  const late = newSettingsView(silentLog);
+  /** A host that has just started knows no peers yet. */
+  let asked = 0;
+  const oddValues = newOddValues(clock, silentLog, newMetrics());
+  followPlatform({
+    clock,
+    log: silentLog,
+    oddValues,
+    settingsView: late,
+    store: holdReadsBy(clock, memory.newView()),
+    directory: newDirectory(clock, silentLog),
+    evacuations: newEvacuations({ clock, log: silentLog }),
+    readIntervalFactor: () => 1,
+    peers: {
+      fetchEvacuations: async () => [],
+      fetchNewerSettings: async (version) => {
+        asked += 1;
+        const source = asked > 1 ? settingsView.findNewerSource(version) : null;
+        return source === null ? [] : [source];
+      },
+    },
+  }).run(controller.signal);
+  while (late.version() !== 1) await clock.advance(50);
+  t.is(late.version(), 1);
+});
+
 test('a host of a large fleet does not ask its peers while the store answers', async (t) => {
   // Guards against settings that count as old between two reads, so that all hosts call one another.
   const { clock, settingsView, asked, memory, waitFor } = newFollower(t, 2.5);
--- a/packages/engines/src/newEvacuations.ts
+++ b/packages/engines/src/newEvacuations.ts
@@ -35,6 +35,8 @@
     newest.get(failureDomain)?.isEvacuated ?? false;
 
   return {
+    /** Whether any record of a domain was applied. */
+    isKnown: (failureDomain: string): boolean => newest.has(failureDomain),
     /** @param from where this host learned of it, for the log */
     apply: (evacuation: Evacuation, from: string): void => {
       if (!isNewer(evacuation)) return;
