A batch of a public route can be read, with a key and without

Cause: the caller was identified as on a route that needs a key, and compared with the batch's customer, which a public batch does not have.

Change: a batch that was accepted without a customer is read by any caller; what belongs to a customer still needs its key. A caller without a key is answered 401 only once the view is current, where a route is public.

--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -6,6 +6,7 @@
 import newResultPages from '@cyclamengate/batches/newResultPages';
 import { sendJson } from '@cyclamengate/common/handler';
 import { findCaller } from '@cyclamengate/gateway/findRoute';
+import type { Caller } from '@cyclamengate/gateway/findRoute';
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import { notRun, rejected, uncertain } from '@cyclamengate/gateway/refusal';
 import type { Refusal } from '@cyclamengate/gateway/refusal';
@@ -52,21 +53,27 @@
     if (response.destroyed) release();
   };
 
+  /** A batch that was accepted without a key may be read without one, and with any. */
+  const mayRead = (caller: Caller | null, { batch }: BatchState): boolean =>
+    batch.customer === null ||
+    (caller?.type === 'customer' && caller.customer.name === batch.customer);
+
+  const acceptsWithoutKey = ({ settings }: EffectiveSettings): boolean =>
+    settings.routes.some(({ kind, isPublic }) => kind === 'batch' && isPublic);
+
   /** Finds a batch of the caller. It is reported missing only if the view is up to date. */
   const findBatch = async (request: CallerRequest, id: string): Promise<BatchState | Refusal> => {
     if (!canFinish(clock.now() + request.waitMs + MAX_CALL_MS)) return leavingRefusal;
     const effective = readSettings();
     if (!effective) return notRun('no-settings', STORE_RETRY_MS);
     const caller = findCaller(effective, null, request.key);
-    if (!caller) return rejected(401, 'unknown-key');
-    const isCurrent = batches.get(id)
-      ? true
-      : await store.catchUp(clock.now() + CATCH_UP_TIMEOUT_MS);
+    const isKnown = batches.get(id) !== undefined;
+    if (!caller && !isKnown && !acceptsWithoutKey(effective)) return rejected(401, 'unknown-key');
+    const isCurrent = isKnown ? true : await store.catchUp(clock.now() + CATCH_UP_TIMEOUT_MS);
     const state = batches.get(id);
     if (!state && !isCurrent) return notRun('store-away', STORE_RETRY_MS);
-    const customer = caller.type === 'customer' ? caller.customer.name : null;
-    if (!state || state.batch.customer !== customer) return rejected(404, 'no-such-batch');
-    return state;
+    if (state && mayRead(caller, state)) return state;
+    return caller ? rejected(404, 'no-such-batch') : rejected(401, 'unknown-key');
   };
 
   const isRefusal = (value: object): value is Refusal => 'status' in value;
