An item that engines refused or failed in three batches is not run again

Cause: a result said that an item was abandoned, not why, and nothing outlived its batch.

Change: the result says whether engines refused or failed the item; all hosts count this by id and digest while the newest such batch is known, and abandon the item at once when it comes a fourth time.

--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -146,6 +146,8 @@
   batch: z.string(),
   item: z.string(),
   state: z.enum(['completed', 'abandoned']),
+  /** What the engines answered to an abandoned item; left out if it was abandoned for another reason. */
+  verdict: z.enum(['impossible', 'failed']).optional(),
   /** Null if there is no text. */
   text: textPlaceSchema.nullable(),
   /** All versions of the weights that generated an event of the text. */
@@ -153,6 +155,8 @@
   score: z.string().nullable(),
 });
 
+export type Verdict = NonNullable<z.infer<typeof resultSchema>['verdict']>;
+
 export type ItemResult = z.infer<typeof resultSchema>;
 
 /** Ends a batch at its sender's request; further results are not wanted. */
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -173,6 +173,12 @@
     return true;
   };
 
+  const abandonHopeless = (task: ItemTask): boolean => {
+    if (!batches.isHopeless(task.item)) return false;
+    abandon(task, 'refused or failed in earlier batches');
+    return true;
+  };
+
   /** Begins anew what only engines of a version that is gone could continue. */
   const discardHopeless = (list: ItemTask[], current: Candidate[]): void =>
     list
@@ -188,8 +194,10 @@
         discardText(task, repeats);
       });
 
+  const mayStart = (task: ItemTask): boolean => !abandonExpired(task) && !abandonHopeless(task);
+
   const startWaiting = (waiting: ItemTask[]): void =>
-    scopes.group(waiting.filter((task) => !abandonExpired(task))).forEach((scope) => {
+    scopes.group(waiting.filter(mayStart)).forEach((scope) => {
       const current = scopes.findCandidates(scope);
       discardHopeless(scope.list, current);
       // Mostly all slots are taken, and describing the items would be wasted work.
--- a/packages/batches/src/newBatches.ts
+++ b/packages/batches/src/newBatches.ts
@@ -14,6 +14,7 @@
 import mapById from './mapById.js';
 import { RESULT_BYTES, itemBytes } from './metadataBytes.js';
 import newBatchState from './newBatchState.js';
+import newVerdicts from './newVerdicts.js';
 import type { BatchState, EarlierText } from './newBatchState.js';
 import type { PartialTexts } from './newPartialTexts.js';
 import type { BatchExecutor } from './peerRouter.js';
@@ -47,6 +48,7 @@
   const { clock, retentionMs, parts, memory = unlimitedMemory, onRequestsDropped } = options;
   const states = new Map<string, BatchState>();
   const completed = new Map<string, { digest: string; result: ItemResult }>();
+  const verdicts = newVerdicts();
   const reportedExecutors = new Map<string, BatchExecutor & { at: number }>();
   let onAccepted = (_state: BatchState): void => {};
   const listeners = new Set<(state: BatchState) => void>();
@@ -110,6 +112,7 @@
     state.lease.add(RESULT_BYTES);
     parts.remove(result.item);
     const item = state.items.get(result.item);
+    if (item) verdicts.add(item, result);
     if (item && result.state === 'completed') {
       completed.set(result.item, { digest: item.digest, result });
     }
@@ -163,6 +166,7 @@
       if (evictionTime(state) >= clock.now()) return;
       state.results.forEach(({ item, batch }) => {
         if (completed.get(item)?.result.batch === batch) completed.delete(item);
+        verdicts.forget(item, batch);
       });
       forget(state);
     });
@@ -246,6 +250,8 @@
       [...states.values()].filter(
         ({ isEnded, finished, items }) => !isEnded && finished.size < items.size,
       ),
+    /** Whether the engines' answers in earlier batches forbid to run an item once more. */
+    isHopeless: verdicts.isHopeless,
     /**
      * Text of an item from any batch: the complete text, or the part of it that was written by its
      * host.
--- a/packages/batches/src/newItemFinisher.ts
+++ b/packages/batches/src/newItemFinisher.ts
@@ -1,7 +1,7 @@
 import type Clock from '@cyclamengate/common/Clock';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { WriteOutcome } from '@cyclamengate/store/newStoreWriter';
-import type { ItemResult, TextPlace } from './batchRecord.js';
+import type { ItemResult, TextPlace, Verdict } from './batchRecord.js';
 import type { ItemScorer, ScoreOutcome } from './newItemScorer.js';
 import type { RequestReader } from './newRequestReader.js';
 import type { BatchState } from './newBatchState.js';
@@ -63,9 +63,10 @@
     if (task.state.isStored) await writeResult(task, itemOutcome);
   };
 
-  const abandon = (task: ItemTask, reason: string): Promise<void> => {
+  const abandon = (task: ItemTask, reason: string, verdict?: Verdict): Promise<void> => {
     log.warn('item.abandoned', { requestId: task.item.id, batch: task.state.batch.id, reason });
-    return finish(task, { state: 'abandoned', text: null, versions: [], score: null });
+    const outcome: ItemOutcome = { state: 'abandoned', text: null, versions: [], score: null };
+    return finish(task, verdict ? { ...outcome, verdict } : outcome);
   };
 
   const storeText = async (task: ItemTask): Promise<void> => {
--- a/packages/batches/src/newRunEndHandler.ts
+++ b/packages/batches/src/newRunEndHandler.ts
@@ -62,13 +62,14 @@
         await score(task);
         return;
       case 'impossible':
-        await abandon(task, 'the engine says that it can never be done');
+        await abandon(task, 'the engine says that it can never be done', 'impossible');
         return;
       case 'failed':
         task.failures += end.status === 500 ? 1 : 0;
         task.failedRuns += 1;
         task.avoidedUpstream = upstream;
-        if (task.failures >= (route?.maxUpstreams ?? 1)) await abandon(task, 'failed too often');
+        if (task.failures >= (route?.maxUpstreams ?? 1))
+          await abandon(task, 'failed too often', 'failed');
         else repeat(task, 'failed', backoffMs(task));
         return;
       case 'not-run':
--- a/packages/batches/tests/newBatchRunner.test.ts
+++ b/packages/batches/tests/newBatchRunner.test.ts
@@ -29,6 +29,30 @@
   await close();
 });
 
+const abandonsHopeless = test.macro(async (t, engineStatus: number, runsPerBatch: number) => {
+  // Guards against an item that no engine can do, and that is run in each batch in which it comes again.
+  const { clock, batches, observed, state, close } = newRunnerHost();
+  state.engineStatus = engineStatus;
+  const submitted = ['b1', 'b2', 'b3', 'b4', 'b5'];
+  for (const id of submitted) {
+    const acceptedAt = clock.wallTime();
+    batches.apply(newBatch(id, [newItem('1')], { acceptedAt }));
+    await clock.advance(5_000);
+    t.is(batches.get(id)?.results[0]?.state, 'abandoned', id);
+    batches.apply({ type: 'batch-end', batch: id });
+  }
+  t.is(observed.runs.length, 3 * runsPerBatch);
+  state.engineStatus = 200;
+  const body = Buffer.from('another prompt').toString('base64');
+  batches.apply(newBatch('b6', [newItem('1', { body })], { acceptedAt: clock.wallTime() }));
+  await clock.advance(500);
+  t.is(batches.get('b6')?.results[0]?.state, 'completed', 'another request under its id');
+  await close();
+});
+
+test('an item that engines refuse for good is not run in a fourth batch', abandonsHopeless, 422, 1);
+test('an item that fails in three batches is not run in a fourth one', abandonsHopeless, 500, 3);
+
 test('a result is not written before its batch is in the log', async (t) => {
   // The batch was begun while the store was unavailable. Hosts ignore a result of a batch that they
   // do not know yet.
--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -62,6 +62,7 @@
     candidates: [newCandidate('a')],
     newestVersion: 1,
     engineVersion: 1,
+    engineStatus: 200,
   };
   /** Lets a slow engine continue when aborted. */
   const resumeEngine = new AbortController();
@@ -87,7 +88,7 @@
     ): Promise<UpstreamOutcome> {
       observed.runs.push(request.requestId);
       observed.upstreams.push(id);
-      const head = { status: 200, headers: {}, signature: 's', load: null };
+      const head = { status: state.engineStatus, headers: {}, signature: 's', load: null };
       return {
         type: 'answer',
         answer: {
