--- a/packages/batches/tests/newRunnerHost.ts
+++ b/packages/batches/tests/newRunnerHost.ts
@@ -65,6 +65,7 @@
     /** Calls of the next kind that throw instead. */
     brokenSends: 0,
     brokenScores: 0,
+    engineStatus: 200,
   };
   /** Lets a slow engine continue when aborted. */
   const resumeEngine = new AbortController();
@@ -94,7 +95,7 @@
         throw new Error('broken');
       }
       observed.upstreams.push(id);
-      const head = { status: 200, headers: {}, signature: 's', load: null };
+      const head = { status: state.engineStatus, headers: {}, signature: 's', load: null };
       return {
         type: 'answer',
         answer: {
