What waits at a stopping host is refused in time, and what is open is answered

What was seen: in a planned stop with upstreams that take seconds, 30 to 60 requests a stop were cut without an answer as the process ended, 7.3 s after the signal, although they had never been passed on; among them requests that may not be repeated.

Cause: what a stopping host takes was decided on arrival only; what was taken waited for a place by its own deadline.

Change: at the end of the first seconds, requests that wait for a place, bodies that are arriving and reads that wait for results are asked again whether they can be over in time, and refused as not run if not. Plain requests still at an upstream shortly before the end get 504.

--- a/apps/host/src/newBatchHandlers.ts
+++ b/apps/host/src/newBatchHandlers.ts
@@ -9,6 +9,7 @@
 import type { EffectiveSettings } from '@cyclamengate/gateway/newSettingsView';
 import { notRun, rejected, uncertain } from '@cyclamengate/gateway/refusal';
 import type { Refusal } from '@cyclamengate/gateway/refusal';
+import type { Departure } from './newDeparture.js';
 import leavingRefusal from './leavingRefusal.js';
 import newBatchAcceptance, { STORE_RETRY_MS } from './newBatchAcceptance.js';
 import type { BatchAcceptanceOptions } from './newBatchAcceptance.js';
@@ -27,11 +28,12 @@
 
 export interface BatchHandlerOptions extends Omit<BatchAcceptanceOptions, 'refuse'> {
   readSettings: () => EffectiveSettings | null;
+  onLate: Departure['onLate'];
 }
 
 /** Handlers of the batch calls. They answer from the store's records, so all hosts answer alike. */
 const newBatchHandlers = (options: BatchHandlerOptions) => {
-  const { clock, log, memory, store, storeRecord, readSettings, canFinish } = options;
+  const { clock, log, memory, store, storeRecord, readSettings, canFinish, onLate } = options;
   const { batches } = store;
   const pages = newResultPages({ clock, readTexts: store.texts.read });
 
@@ -77,13 +79,17 @@
     return (await store.requests.load(state, itemId)) ?? notRun('requests-unread', STORE_RETRY_MS);
   };
 
-  /** Waits for a result at a position, until the caller's wait time is over. */
+  /** Waits for a result at a position, until the caller's wait time is over or this host stops. */
   const waitForResult = (state: BatchState, from: number, deadline: number): Promise<void> => {
     const wait = new AbortController();
+    const stay = onLate(deadline + MAX_CALL_MS, () => wait.abort('leaving'));
     const stop = batches.onChange((changed) => {
       if (changed === state && state.results.length > from) wait.abort('result available');
     });
-    return clock.sleepUntil(deadline, wait.signal).finally(stop);
+    return clock.sleepUntil(deadline, wait.signal).finally(() => {
+      stop();
+      stay();
+    });
   };
 
   const logRead = ({ batch, items, results, isEnded }: BatchState, from: number, given: number) =>
--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -19,10 +19,11 @@
 import type { AdmittedRelay } from '@cyclamengate/gateway/newAdmittedRelay';
 import type { StreamRelay } from '@cyclamengate/gateway/newStreamRelay';
 import type { Route } from '@cyclamengate/gateway/operatorSettings';
-import { notRun, rejected } from '@cyclamengate/gateway/refusal';
+import { notRun, rejected, uncertain } from '@cyclamengate/gateway/refusal';
 import type { Refusal } from '@cyclamengate/gateway/refusal';
 import type { RelayOutcome } from '@cyclamengate/gateway/relayOutcome';
 import { findCallerClass } from '@cyclamengate/gateway/workClasses';
+import type { WorkClass } from '@cyclamengate/gateway/workClasses';
 import type { UsageMeter } from '@cyclamengate/hosts/newUsageMeter';
 import type { BatchHandlers } from './newBatchHandlers.js';
 import leavingRefusal from './leavingRefusal.js';
@@ -43,7 +44,7 @@
   relayStream: StreamRelay;
   batches: BatchHandlers;
   readSettings: () => EffectiveSettings | null;
-  departure: Pick<Departure, 'isLeaving' | 'canFinish'>;
+  departure: Pick<Departure, 'canFinish' | 'onLate' | 'onEnd'>;
 }
 
 /** Serves callers: resolves route and customer, then relays the request or accepts the batch. */
@@ -129,6 +130,31 @@
     response.end(body);
   };
 
+  /**
+   * Relays a plain request of a host that may stop meanwhile: it is refused as not run if it then waits
+   * for a place too long, and answered in any case before the process ends.
+   */
+  const relayPlain = async (
+    relayed: RelayedRequest,
+    workClass: WorkClass,
+    caller: CallerRequest,
+    response: ServerResponse,
+    { signal }: AbortController,
+  ): Promise<RelayOutcome> => {
+    const late = new AbortController();
+    const removals = [
+      departure.onLate(relayed.deadline, () => late.abort('leaving')),
+      departure.onEnd(() => refuse(response, caller, uncertain('leaving', 504))),
+    ];
+    response.once('close', () => removals.forEach((remove) => remove()));
+    const waitSignal = AbortSignal.any([signal, late.signal]);
+    const outcome = await relay(relayed, workClass, signal, waitSignal);
+    const isLeft = outcome.type === 'refusal' && !outcome.hasRun && outcome.upstreams === 0;
+    return isLeft && late.signal.aborted && !signal.aborted
+      ? { ...outcome, refusal: leavingRefusal }
+      : outcome;
+  };
+
   const computeDeadline = (route: Route, request: CallerRequest, arrivedAt: number): number =>
     arrivedAt + Math.min(route.timeoutMs, request.timeoutMs ?? Number.POSITIVE_INFINITY);
 
@@ -166,7 +192,13 @@
     const startedAt = clock.wallTime();
     const outcome = route.isStream
       ? await relayStream(relayed, response, controller.signal)
-      : await relay(relayed, findCallerClass(customerPriority, route.priority), controller.signal);
+      : await relayPlain(
+          relayed,
+          findCallerClass(customerPriority, route.priority),
+          request,
+          response,
+          controller,
+        );
     const hasRun = outcome.type === 'answer' || outcome.hasRun;
     if (hasRun && customer !== null) meter.count(customer, startedAt);
     if (!response.headersSent) {
@@ -220,9 +252,17 @@
       lease.release();
       answerLease.release();
     });
-    const body = await readBody(request, maxBodyBytes, BODY_TIMEOUT_MS, lease);
-    if (!body.ok) reject(refusalOf(body.val));
     // A body may take seconds to arrive.
+    const isLate = new Promise<null>((resolve) => {
+      response.once(
+        'close',
+        departure.onLate(deadline, () => resolve(null)),
+      );
+    });
+    const reading = readBody(request, maxBodyBytes, BODY_TIMEOUT_MS, lease);
+    const body = await Promise.race([reading, isLate]);
+    if (body === null) reject(leavingRefusal);
+    else if (!body.ok) reject(refusalOf(body.val));
     else if (!departure.canFinish(deadline)) reject(leavingRefusal);
     else {
       const payload = { body: body.val, answerLease, deadline };
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -277,6 +277,7 @@
     readSettings: settingsView.read,
     hasUpstream: upstreams.hasUpstream,
     canFinish: departure.canFinish,
+    onLate: departure.onLate,
   });
   const callers = newCallerHandler({
     clock,
--- a/apps/host/tests/newDrain.test.ts
+++ b/apps/host/tests/newDrain.test.ts
@@ -114,3 +114,28 @@
   t.not(state.closedAt, null);
   t.false(departure.canFinish(clock.now() + 1));
 });
+
+test('what waits is called back once it can not be over in time, and the rest shortly before the end', async (t) => {
+  // Guards against requests that wait for a place until the process ends, and are lost though they never
+  // ran: their callers could have gone to other hosts long before.
+  const { clock, departure } = newTestDrain(
+    async () => {},
+    () => 1,
+  );
+  const startedAt = clock.now();
+  const calls: [string, number][] = [];
+  const note = (name: string) => () => calls.push([name, clock.now() - startedAt]);
+  departure.onLate(startedAt + 60_000, note('long'));
+  departure.onLate(startedAt + 5_000, note('short'));
+  const remove = departure.onLate(startedAt + 60_000, note('begun'));
+  departure.onEnd(note('open'));
+  remove();
+  await clock.advance(2_900);
+  t.is(calls.length, 1);
+  t.is(calls[0]?.[0], 'long');
+  await clock.advance(SHUTDOWN_MS);
+  t.is(calls.length, 2);
+  const [name, at] = calls[1] ?? ['', 0];
+  t.is(name, 'open');
+  t.true(at > 7_000 && at < 7_300);
+});
--- a/apps/platform-standin/src/newPlainServer.ts
+++ b/apps/platform-standin/src/newPlainServer.ts
@@ -12,7 +12,7 @@
   faults: {
     isUnresponsive: boolean;
     isOverloaded: boolean;
-    /** Milliseconds that a request takes. */
+    /** Milliseconds that a request takes, unless its path ends with `wait-` and another number. */
     responseDelayMs: number;
     /** Number of next answers that have no length and are broken off in the middle by a reset. */
     brokenAnswers: number;
@@ -36,6 +36,11 @@
   socket?.write(Buffer.concat([Buffer.from(head), half]), () => socket.resetAndDestroy());
 };
 
+const findDelayMs = (path = ''): number | null => {
+  const named = /wait-(\d+)$/.exec(path)?.[1];
+  return named === undefined ? null : Number(named);
+};
+
 /** An upstream of a plain service; it responds with the request's body. */
 const newPlainServer = async (id: string): Promise<PlainServer> => {
   const faults: PlainServer['faults'] = {
@@ -62,35 +67,38 @@
     const key = headers['x-api-key'] === undefined ? null : String(headers['x-api-key']);
     runs.push({ requestId, customer, key });
     const body = await readBody(request);
-    setTimeout(() => {
-      if (response.destroyed) return;
-      const answerHeaders = {
-        'attempt-id': requestId,
-        'server-stamp': `${id}.${requestId}`,
-        'instance-load': '1,0,6',
-      };
-      if (body.toString() === faults.deadlyBody || request.url === faults.deadlyPath) {
-        crash();
-        return;
-      }
-      if (faults.endlessPart !== null) {
-        sendWithoutEnd(response, faults.endlessPart, answerHeaders);
-        return;
-      }
-      if (faults.unframedBytes !== null) {
-        response.useChunkedEncodingByDefault = false;
-        response.writeHead(200, answerHeaders);
-        response.end(Buffer.alloc(faults.unframedBytes, 'x'));
-        return;
-      }
-      if (faults.brokenAnswers > 0) {
-        faults.brokenAnswers -= 1;
-        breakOff(response, answerHeaders, body);
-        return;
-      }
-      response.writeHead(200, { ...answerHeaders, 'content-length': String(body.length) });
-      response.end(body);
-    }, faults.responseDelayMs);
+    setTimeout(
+      () => {
+        if (response.destroyed) return;
+        const answerHeaders = {
+          'attempt-id': requestId,
+          'server-stamp': `${id}.${requestId}`,
+          'instance-load': '1,0,6',
+        };
+        if (body.toString() === faults.deadlyBody || request.url === faults.deadlyPath) {
+          crash();
+          return;
+        }
+        if (faults.endlessPart !== null) {
+          sendWithoutEnd(response, faults.endlessPart, answerHeaders);
+          return;
+        }
+        if (faults.unframedBytes !== null) {
+          response.useChunkedEncodingByDefault = false;
+          response.writeHead(200, answerHeaders);
+          response.end(Buffer.alloc(faults.unframedBytes, 'x'));
+          return;
+        }
+        if (faults.brokenAnswers > 0) {
+          faults.brokenAnswers -= 1;
+          breakOff(response, answerHeaders, body);
+          return;
+        }
+        response.writeHead(200, { ...answerHeaders, 'content-length': String(body.length) });
+        response.end(body);
+      },
+      findDelayMs(request.url) ?? faults.responseDelayMs,
+    );
   });
   return { ...loopback, id, faults, runs };
 };
