--- a/apps/host/src/newServers.ts
+++ b/apps/host/src/newServers.ts
@@ -107,7 +107,7 @@
   });
 
   const readinessServer = createServer((_request, response) => {
-    response.writeHead(isReady() ? 200 : 503, { 'content-length': '0' });
+    response.writeHead(isReady() && callerServer.listening ? 200 : 503, { 'content-length': '0' });
     response.end();
   });
 
@@ -122,11 +122,12 @@
 
   return {
     listen: async (): Promise<void> => {
-      await listenOn(callerServer, parseAddress(settings.listen.callers));
-      await listenOn(readinessServer, parseAddress(settings.listen.readiness));
-      await listenOn(peerServer, parseAddress(settings.listen.peers));
       const metricsAddress = { host: settings.address, port: settings.listen.metricsPort };
       await listenOn(metricsServer, metricsAddress);
+      await listenOn(peerServer, parseAddress(settings.listen.peers));
+      await listenOn(readinessServer, parseAddress(settings.listen.readiness));
+      // Last: until the start is complete, a stop signal ends the process with the requests that it took.
+      await listenOn(callerServer, parseAddress(settings.listen.callers));
     },
     openRequestCount: (): number => openRequests,
     closeIdle: (): void => callerServer.closeIdleConnections(),
--- a/apps/host/tests/bundle.process.test.ts
+++ b/apps/host/tests/bundle.process.test.ts
@@ -8,6 +8,7 @@
 import test from 'ava';
 import { batchBody, expectedTextOf, readAllResults, submit } from './batchHelpers.js';
 import { newHosts, send } from './newHosts.js';
+import { stopStarts } from './signalStarts.js';
 
 const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
 const BUNDLE = `${ROOT}target/cyclamengate-host.cjs`;
@@ -49,6 +50,21 @@
   },
 );
 
+test.serial(
+  'a stop signal during the start of the bundled program ends it with success',
+  async (t) => {
+    // Guards against a stop signal that comes while the bundle is read, before the program can handle it.
+    t.timeout(60_000);
+    const platform = await newPlatform({ domains: ['detroit'], enginesPerDomain: 1 });
+    const system = await newHosts(platform, [], BUNDLE, {}, await readNodeFlags());
+    t.teardown(async () => {
+      await system.close();
+      await platform.close();
+    });
+    await stopStarts(t, (name) => system.start(name, 'detroit'));
+  },
+);
+
 test('the code cache is used under the flags of the platform', async (t) => {
   // Guards against flags that differ between the build and the platform, so that each start compiles.
   const { stdout } = await run(process.execPath, [...(await readNodeFlags()), BUNDLE, '--help']);
--- a/packages/common/src/startProgram.ts
+++ b/packages/common/src/startProgram.ts
@@ -1,4 +1,5 @@
 import { parseArgs } from 'node:util';
+import handleEarlySignals from './handleEarlySignals.js';
 import type { UncaughtErrors } from './newUncaughtErrors.js';
 
 /** Exit statuses: 0 for success, 1 for a failure, 2 for incorrect usage. */
@@ -84,6 +85,7 @@
   start: (settingsPath: string) => Promise<RunningProgram | string>,
   errors: UncaughtErrors | null = null,
 ): Promise<void> => {
+  handleEarlySignals();
   const running = await start(readSettingsPath(program));
   if (typeof running === 'string') {
     process.stderr.write(`${program}: ${running}\n`);
