A removal that was read is doubted only after an outage of the store

What was seen: requests reached a leaving upstream up to 2,132 ms after its removal, though the store was never away; the host's own reads had failed just before. After a real outage a host lost all upstreams whose entries had expired in it until they had written again.

Cause: each first read that succeeded after a failed one began the grace period for expired entries, and began it after its own records were applied.

Change: the follower tells of a gap before it applies what was written meanwhile, with its length and the writes of the busiest key; wasStoreAway decides whether entries can have expired in it. The deletion of an upstream that was draining is final in any case.

--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -9,6 +9,7 @@
 import type { NewestVersion } from '@cyclamengate/engines/findDueLoads';
 import type { Directory } from '@cyclamengate/engines/newDirectory';
 import type { Evacuations } from '@cyclamengate/engines/newEvacuations';
+import wasStoreAway from '@cyclamengate/engines/wasStoreAway';
 import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
 import newKeyedFollower from '@cyclamengate/store/newKeyedFollower';
 import type Store from '@cyclamengate/store/Store';
@@ -41,12 +42,14 @@
   peers: Pick<Peers, 'fetchNewerSettings' | 'fetchEvacuations'>;
   /** Factor by which the time between reads grows with the number of hosts. */
   readIntervalFactor: () => number;
+  /** How often upstreams write their entries. */
+  upstreamWriteIntervalMs: number;
 }
 
 /** Follows the operator's settings, the newest version of each model and the list of upstreams. */
 const followPlatform = (options: FollowPlatformOptions) => {
   const { clock, log, store, settingsView, directory, evacuations, peers } = options;
-  const { oddValues, readIntervalFactor } = options;
+  const { oddValues, readIntervalFactor, upstreamWriteIntervalMs } = options;
   const versions = new Map<string, NewestVersion>();
 
   const applySettings = (value: Buffer, from: string): void => {
@@ -126,7 +129,9 @@
     readIntervalMs: () => UPSTREAMS_READ_INTERVAL_MS * readIntervalFactor(),
     readWaitMs,
     apply: applyUpstream,
-    onRecovered: directory.startGracePeriod,
+    onRecovered: (gap) => {
+      if (wasStoreAway(gap, upstreamWriteIntervalMs)) directory.startGracePeriod();
+    },
   });
 
   /** Evacuations first: with its settings a host becomes ready. */
--- a/apps/host/src/hostSettings.ts
+++ b/apps/host/src/hostSettings.ts
@@ -32,6 +32,8 @@
     usageWindowSeconds: z.number().min(1),
     /** How long a batch can be read after it was accepted. */
     batchLifeSeconds: z.number().min(1),
+    /** How often upstreams write their entries, in milliseconds. */
+    upstreamWriteIntervalMs: z.number().min(1).default(1_200),
   }),
   /** Memory of this process. */
   memory: z
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -176,6 +176,7 @@
     evacuations,
     peers,
     readIntervalFactor: coordination.readIntervalFactor,
+    upstreamWriteIntervalMs: terms.upstreamWriteIntervalMs,
   });
   const allowedLags = newAllowedLags();
   const demands = newDemands();
--- a/apps/host/tests/followPlatform.test.ts
+++ b/apps/host/tests/followPlatform.test.ts
@@ -19,6 +19,7 @@
 };
 
 const POLL_INTERVAL_MS = 10;
+const WRITE_INTERVAL_MS = 1_200;
 
 /** Holds reads open by the given clock, where the memory store waits in real time. */
 const holdReadsBy = (clock: Clock, store: Store): Store => {
@@ -54,9 +55,12 @@
     settingsView: view,
     directory: newDirectory(clock, silentLog),
     readIntervalFactor: () => readIntervalFactor,
+    upstreamWriteIntervalMs: WRITE_INTERVAL_MS,
   });
+  const hostParts = newParts(settingsView);
+  const { directory } = hostParts;
   const host = followPlatform({
-    ...newParts(settingsView),
+    ...hostParts,
     store: holdReadsBy(clock, memory.newView(faults)),
     evacuations,
     peers: {
@@ -87,7 +91,7 @@
       });
     }
   };
-  return { clock, memory, faults, settingsView, evacuations, asked, waitFor };
+  return { clock, memory, faults, settingsView, directory, evacuations, asked, waitFor };
 };
 
 test('a host that alone does not reach the store learns of a withdrawn key from its peers', async (t) => {
@@ -173,3 +177,65 @@
   await waitFor(() => clock.now() >= endsAt);
   t.is(asked.length, askedAtStart);
 });
+
+const putEntry = (memory: ReturnType<typeof newMemoryStore>, id: string, slots: number): void => {
+  const entry = {
+    service: 'portal',
+    address: '127.0.0.1:9',
+    zone: 'detroit',
+    slots,
+    state: 'ready',
+    born: 1,
+  };
+  memory.put('keyed.servers', [encodeKeyedBody(id, JSON.stringify(entry))]);
+};
+
+const deleteEntry = (memory: ReturnType<typeof newMemoryStore>, id: string): void => {
+  memory.put('keyed.servers', [encodeKeyedBody(id, '')]);
+};
+
+const LOST_READS_MS = [400, 1_500, 7_200];
+
+LOST_READS_MS.forEach((lostMs) => {
+  test(`an upstream whose removal is read after lost reads of one host is gone (${lostMs} ms)`, async (t) => {
+    // Guards against requests to an upstream that has left: the store was there all the while, and the
+    // deletion that it has confirmed is not one of an entry that expired.
+    const { clock, memory, faults, directory, waitFor } = newFollower(t);
+    putEntry(memory, 'leaving', 1);
+    putEntry(memory, 'staying', 1);
+    await waitFor(() => directory.entries().length === 2);
+    faults.isRefusing = true;
+    const backAt = clock.now() + lostMs;
+    for (let slots = 2; clock.now() < backAt; slots += 1) {
+      putEntry(memory, 'leaving', slots);
+      putEntry(memory, 'staying', slots);
+      await clock.advance(Math.min(WRITE_INTERVAL_MS, backAt - clock.now()));
+    }
+    faults.isRefusing = false;
+    putEntry(memory, 'staying', 9);
+    await waitFor(() => directory.find('staying')?.slots === 9);
+    deleteEntry(memory, 'leaving');
+    const deletedAt = clock.now();
+    await waitFor(() => directory.find('leaving') === undefined);
+    t.true(clock.now() < deletedAt + 1_000);
+    t.truthy(directory.find('staying'));
+  });
+});
+
+test('entries that expired in an outage of the store are kept until they can be back', async (t) => {
+  // Guards against a host that has no upstream left after an outage, since it reads their deletions first.
+  const { clock, memory, faults, directory, waitFor } = newFollower(t);
+  putEntry(memory, 'alive', 1);
+  putEntry(memory, 'dead', 1);
+  await waitFor(() => directory.entries().length === 2);
+  faults.isRefusing = true;
+  await clock.advance(6_000);
+  deleteEntry(memory, 'alive');
+  deleteEntry(memory, 'dead');
+  faults.isRefusing = false;
+  await clock.advance(1_000);
+  t.is(directory.all('portal').length, 2);
+  putEntry(memory, 'alive', 2);
+  await waitFor(() => directory.find('dead') === undefined);
+  t.is(directory.find('alive')?.slots, 2);
+});
--- a/packages/engines/src/newDirectory.ts
+++ b/packages/engines/src/newDirectory.ts
@@ -97,10 +97,15 @@
     remove: (id: string): void => {
       const upstream = listed.get(id);
       if (!upstream) return;
-      if (clock.now() >= graceUntil) removeUpstream(id, 'entry deleted');
+      // One that has said that it leaves has left.
+      const isCertain = clock.now() >= graceUntil || upstream.entry.isDraining;
+      if (isCertain) removeUpstream(id, 'entry deleted');
       else upstream.expiresAt = graceUntil;
     },
-    /** Starts the grace period for entries that expired while the store was unavailable. */
+    /**
+     * Starts the grace period for entries that expired while the store was unavailable to all, not to
+     * this host alone: a deletion that was made meanwhile is final.
+     */
     startGracePeriod: (): void => {
       graceUntil = clock.now() + STORE_RECOVERY_GRACE_MS;
     },
--- a/packages/engines/tests/newDirectory.test.ts
+++ b/packages/engines/tests/newDirectory.test.ts
@@ -38,3 +38,12 @@
   directory.put(newEntry({ sequence: null, startedAt: 2 }));
   t.false(directory.find('a')?.isDraining);
 });
+
+test('the deletion of an upstream that was draining is final, also after an outage', (t) => {
+  // Guards against requests to an upstream that has left, since its entry may have expired.
+  const directory = newDirectory(newManualClock(), silentLog);
+  directory.put(newEntry({ isDraining: true }));
+  directory.startGracePeriod();
+  directory.remove('a');
+  t.is(directory.find('a'), undefined);
+});
--- a/packages/store/src/newKeyedFollower.ts
+++ b/packages/store/src/newKeyedFollower.ts
@@ -20,10 +20,23 @@
   readWaitMs: () => number;
   /** Called with each newer record of a key; a null value means that the key was deleted. */
   apply: (record: KeyedRecord) => void;
-  /** Called when a read succeeds after failed reads. */
-  onRecovered?: () => void;
+  /** Called when a read succeeds after failed reads, before its records are applied. */
+  onRecovered?: (gap: ReadGap) => void;
 }
 
+/** A time in which no read of a host succeeded: the store was away, or this host alone did not reach it. */
+export interface ReadGap {
+  durationMs: number;
+  /** How often the key with the most records was written meanwhile; null if that is not known. */
+  mostWrites: number | null;
+}
+
+const countMostWrites = (records: KeyedRecord[]): number => {
+  const counts = new Map<string, number>();
+  records.forEach(({ key }) => counts.set(key, (counts.get(key) ?? 0) + 1));
+  return Math.max(0, ...counts.values());
+};
+
 /**
  * Follows the newest record of each key of a topic.
  *
@@ -39,6 +52,23 @@
   let next: number | null = null;
   let freshAt = -Infinity;
   let isUnavailable = false;
+  /** When the newest read that succeeded was answered. */
+  let answeredAt = -Infinity;
+
+  const recordSuccess = (mostWrites: number | null): void => {
+    if (isUnavailable) {
+      const durationMs = Math.round(clock.now() - answeredAt);
+      log.info('store.read-back', { topic, next, durationMs, mostWrites });
+      onRecovered?.({ durationMs, mostWrites });
+    }
+    isUnavailable = false;
+    answeredAt = clock.now();
+  };
+
+  const recordFailure = (): void => {
+    if (!isUnavailable) log.warn('store.read-failed', { topic, next });
+    isUnavailable = true;
+  };
 
   const applyIfNewer = (record: KeyedRecord): void => {
     if ((offsets.get(record.key) ?? -1) >= record.offset) return;
@@ -59,6 +89,7 @@
     const snapshot = await store.newest(topic, signal);
     if (!snapshot.ok) return false;
     const { records, end } = snapshot.val;
+    recordSuccess(null);
     records.forEach(applyIfNewer);
     deleteMissing(new Set(records.map(({ key }) => key)), end);
     log.info('store.snapshot', { topic, keys: records.length, end });
@@ -82,26 +113,19 @@
       next = null;
       return true;
     }
-    records.map((record) => store.parseKeyed(record)).forEach(applyIfNewer);
+    const parsed = records.map((record) => store.parseKeyed(record));
+    recordSuccess(countMostWrites(parsed));
+    parsed.forEach(applyIfNewer);
     next = (records.at(-1)?.offset ?? from - 1) + 1;
     if (next >= end) freshAt = requestedAt;
     return true;
   };
 
-  const recordReadResult = (isRead: boolean): void => {
-    if (isRead && isUnavailable) {
-      log.info('store.read-back', { topic, next });
-      onRecovered?.();
-    }
-    if (!isRead && !isUnavailable) log.warn('store.read-failed', { topic, next });
-    isUnavailable = !isRead;
-  };
-
   const run = async (signal: AbortSignal): Promise<void> => {
     while (!signal.aborted) {
       const nextReadAt = clock.now() + readIntervalMs();
       const isRead: boolean = await (next === null ? readSnapshot(signal) : readTail(next, signal));
-      recordReadResult(isRead);
+      if (!isRead) recordFailure();
       await clock.sleepUntil(isRead ? nextReadAt : clock.now() + RETRY_DELAY_MS, signal);
     }
   };
--- a/packages/store/tests/followers.test.ts
+++ b/packages/store/tests/followers.test.ts
@@ -199,3 +199,44 @@
   t.true(await follower.catchUp(clock.now() + 1_000));
   t.true(follower.lastOutageEndedAt() > first + 1_300);
 });
+
+test('a follower tells of a gap in its reads before it applies what was written meanwhile', async (t) => {
+  // Guards against a deletion that is judged before it is known whether the store was away.
+  const memory = newMemoryStore();
+  const faults = newNoFaults();
+  const calls: unknown[] = [];
+  const stop = new AbortController();
+  const follower = newKeyedFollower({
+    clock,
+    log: silentLog,
+    store: memory.newView(faults),
+    topic: 'keyed.servers',
+    oddValues: newOddValues(clock, silentLog, newMetrics()),
+    source: 'upstreams',
+    readIntervalMs: () => 0,
+    readWaitMs: () => 20,
+    apply: ({ key, value }) => calls.push([key, value?.toString() ?? null]),
+    onRecovered: ({ durationMs, mostWrites }) => calls.push([durationMs >= 100, mostWrites]),
+  });
+  const put = (key: string, value: string): number =>
+    memory.put('keyed.servers', [encodeKeyedBody(key, value)]);
+  put('one', '1');
+  const running = follower.run(stop.signal);
+  await waitUntil(() => calls.length === 1);
+  faults.isRefusing = true;
+  await clock.sleepUntil(clock.now() + 150);
+  put('two', '1');
+  put('two', '2');
+  put('one', '');
+  faults.isRefusing = false;
+  await waitUntil(() => calls.length === 5);
+  stop.abort();
+  await running;
+  t.deepEqual(calls, [
+    ['one', '1'],
+    [true, 2],
+    ['two', '1'],
+    ['two', '2'],
+    ['one', null],
+  ]);
+});
