--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -9,6 +9,7 @@
 import type { NewestVersion } from '@cyclamengate/engines/findDueLoads';
 import type { Directory } from '@cyclamengate/engines/newDirectory';
 import type { Evacuations } from '@cyclamengate/engines/newEvacuations';
+import wasStoreAway from '@cyclamengate/engines/wasStoreAway';
 import type { SettingsView } from '@cyclamengate/gateway/newSettingsView';
 import newKeyedFollower from '@cyclamengate/store/newKeyedFollower';
 import newTopicFollower from '@cyclamengate/store/newTopicFollower';
@@ -43,12 +44,14 @@
   peers: Pick<Peers, 'fetchNewerSettings' | 'fetchEvacuations'>;
   /** Factor by which the time between reads grows with the number of hosts. */
   readIntervalFactor: () => number;
+  /** How often upstreams write their entries. */
+  upstreamWriteIntervalMs: number;
 }
 
 /** Follows the operator's settings, the newest version of each model and the list of upstreams. */
 const followPlatform = (options: FollowPlatformOptions) => {
   const { clock, log, store, settingsView, directory, evacuations, peers } = options;
-  const { oddValues, readIntervalFactor } = options;
+  const { oddValues, readIntervalFactor, upstreamWriteIntervalMs } = options;
   const versions = new Map<string, NewestVersion>();
   /** Whether the newest settings in the store can't be read, so that others may know newer ones. */
   let areNewestUnreadable = false;
@@ -140,7 +143,9 @@
     readIntervalMs: () => UPSTREAMS_READ_INTERVAL_MS * readIntervalFactor(),
     readWaitMs,
     apply: applyUpstream,
-    onRecovered: directory.startGracePeriod,
+    onRecovered: (gap) => {
+      if (wasStoreAway(gap, upstreamWriteIntervalMs)) directory.startGracePeriod();
+    },
   });
 
   /** The older records of the operator, as far as the store still has them. */
--- a/apps/host/src/newHost.ts
+++ b/apps/host/src/newHost.ts
@@ -179,6 +179,7 @@
     evacuations,
     peers,
     readIntervalFactor: coordination.readIntervalFactor,
+    upstreamWriteIntervalMs: terms.upstreamWriteIntervalMs,
   });
   const allowedLags = newAllowedLags();
   const demands = newDemands();
@@ -280,6 +281,7 @@
     readSettings: settingsView.read,
     hasUpstream: upstreams.hasUpstream,
     canFinish: departure.canFinish,
+    onLate: departure.onLate,
   });
   const callers = newCallerHandler({
     clock,
--- a/packages/fuzz/src/newStoreHost.ts
+++ b/packages/fuzz/src/newStoreHost.ts
@@ -63,7 +63,7 @@
   const directory = newDirectory(clock, log);
   const evacuations = newEvacuations({ clock, log });
   const peers = { fetchNewerSettings: async () => [], fetchEvacuations: async () => [] };
-  const views = { settingsView, directory, evacuations, peers };
+  const views = { settingsView, directory, evacuations, peers, upstreamWriteIntervalMs: 1_200 };
   const { run, newestVersion } = followPlatform({ ...options, ...views, readIntervalFactor });
   return {
     run,
