The fuzzer's sound records are those that hosts write

Two findings of the fuzzer after the merge were its own: it made a lease after claims for it had been read, which hosts never do and claims for leases that a host has not made are passed over; its sound texts named a topic that hosts don't write.

--- a/packages/fuzz/src/goodRecords.ts
+++ b/packages/fuzz/src/goodRecords.ts
@@ -147,7 +147,7 @@
   items: items.map((item) => ({
     ...{ id: item, group: 'a', expectedTokens: 40, digest: `digest-${item}`, segment: 0 },
   })),
-  segments: [{ topic: 'texts', offset: 0, count: 1, bytes: 100 }],
+  segments: [{ topic: 'texts-0', offset: 0, count: 1, bytes: 100 }],
 });
 
 const newBatchRecords = (): GoodRecordSource => {
@@ -159,7 +159,7 @@
   const newResult = (item: string, state: string): Pick<GoodRecord, 'record' | 'effects'> => ({
     record: {
       ...{ type: 'result', batch: item.slice(0, 2), item, state, versions: [1], score: '3e1b' },
-      text: { topic: 'texts', offset: 1, count: 1, bytes: 10, rest: [] },
+      text: { topic: 'texts-0', offset: 1, count: 1, bytes: 10, rest: [] },
     },
     effects: [
       [`result ${item}`, state],
--- a/packages/fuzz/src/newStoreHost.ts
+++ b/packages/fuzz/src/newStoreHost.ts
@@ -103,6 +103,8 @@
     isLeaving: () => false,
   });
   const { members, usage, tasks, owns, newLease } = coordination;
+  // Made before anything is read, as a host makes its leases: claims for others are passed over.
+  const lease = newLease(LEASE_SUBJECT, null);
   /** What hosts read many times a second; an odd member must not break it. */
   const readAll = (): void => {
     [members.runningElsewhere, members.paces, members.demandElsewhere].forEach((read) => read());
@@ -118,8 +120,7 @@
   return {
     run: (signal) => Promise.all([tasks.follow(signal), tasks.sendHeartbeats(signal)]),
     startLease: (signal) => {
-      const lease = newLease(LEASE_SUBJECT, null);
-      lease.run(signal);
+      void lease.run(signal);
       return () => lease.hold(0) !== null;
     },
     decisions: () => {
--- a/packages/store/tests/followers.test.ts
+++ b/packages/store/tests/followers.test.ts
@@ -339,17 +339,21 @@
   put('one', '1');
   const running = follower.run(stop.signal);
   await waitUntil(() => calls.length === 1);
+  // Read from the tail, which a follower that goes on there has read once.
+  put('one', '2');
+  await waitUntil(() => calls.length === 2);
   faults.isRefusing = true;
   await clock.sleepUntil(clock.now() + 150);
   put('two', '1');
   put('two', '2');
   put('one', '');
   faults.isRefusing = false;
-  await waitUntil(() => calls.length === 5);
+  await waitUntil(() => calls.length === 6);
   stop.abort();
   await running;
   t.deepEqual(calls, [
     ['one', '1'],
+    ['one', '2'],
     [true, 2],
     ['two', '1'],
     ['two', '2'],
