--- a/packages/batches/tests/oddRecords.test.ts
+++ b/packages/batches/tests/oddRecords.test.ts
@@ -2,6 +2,7 @@
 import newOddValues from '@cyclamengate/common/newOddValues';
 import newAllowedLags from '@cyclamengate/engines/newAllowedLags';
 import { newManualClock } from '@cyclamengate/fakes/newManualClock';
+import { ODD_VALUES, replaceMember } from '@cyclamengate/fakes/oddJson';
 import test from 'ava';
 import fc from 'fast-check';
 import { batchRecordSchema, partSchema } from '../src/batchRecord.js';
@@ -83,27 +84,7 @@
   return { clock, metrics, parts, batches, demands, readAll };
 };
 
-/** Values that another program may write where this one expects something else. */
-const oddValue = fc.oneof(
-  fc.constantFrom<unknown>(
-    ...[null, true, -1, 0, 0.5, 9e15, -9e15, 1e308, -1e308, 1e9, '', '__proto__', 'keyed.servers'],
-    ...['texts-99999999999', 'x'.repeat(10_000), Array(2_000).fill(1), Array(2_000).fill('')],
-    ...[{ __proto__: null, length: 1e9 }, [[[[]]]]],
-  ),
-  fc.jsonValue({ maxDepth: 4 }),
-);
-
-/** Replaces a member of a record, however deep it lies. */
-const replaceMember = (record: unknown, path: number[], value: unknown): unknown => {
-  const [step, ...rest] = path;
-  const isInner = typeof record === 'object' && record !== null;
-  if (step === undefined || !isInner || Object.keys(record).length === 0) return value;
-  const copy = structuredClone(record) as Record<string, unknown>;
-  const keys = Object.keys(copy);
-  const key = keys[step % keys.length] ?? '';
-  copy[key] = replaceMember(copy[key], rest, value);
-  return copy;
-};
+const oddValue = fc.oneof(fc.constantFrom(...ODD_VALUES), fc.jsonValue({ maxDepth: 4 }));
 
 const sound = fc.constantFrom<unknown>(
   headOf('odd', 'odd'),
