A whole text that can't be scored is abandoned on a current view only

The new test of unreadableRequests.test.ts (a whole text whose scoring call is never read) fails without the abandonment and passes.

--- a/packages/batches/src/batchRecord.ts
+++ b/packages/batches/src/batchRecord.ts
@@ -13,7 +13,7 @@
 /** The topics of texts and of requests. */
 const TEXT_TOPIC = /^(texts|requests)-\d{1,2}$/;
 
-/** A sender's estimate, which changes the order of work and nothing else. */
+/** A sender's estimate, by which work is ordered and engines are shared out. */
 const expectedTokensSchema = z
   .number()
   .transform((tokens) => Math.min(MAX_EXPECTED_TOKENS, Math.max(0, tokens)))
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -215,10 +215,15 @@
       );
     });
 
+  const scoreUnlessExpired = (task: ItemTask): void => {
+    const isAbandoned = mayWork(task.state) && abandonExpired(task);
+    if (!isAbandoned) score(task);
+  };
+
   /** Resumes items whose text is complete, as far as the view and the log currently allow it. */
   const finishCompleted = (): void =>
     tasks.all().forEach((task) => {
-      if (task.phase === 'unscored' && !abandonExpired(task)) score(task);
+      if (task.phase === 'unscored') scoreUnlessExpired(task);
       if (task.phase === 'unwritten') resume(task);
     });
 
--- a/packages/batches/tests/unreadableRequests.test.ts
+++ b/packages/batches/tests/unreadableRequests.test.ts
@@ -32,6 +32,26 @@
   await close();
 });
 
+test('a whole text whose scoring call cannot be read is abandoned by its retention', async (t) => {
+  // Guards against an item that is neither scored nor listed, since only its request is lost.
+  const { clock, batches, parts, observed, close } = newRunnerHost();
+  const scoring = { id: 's1', hostName: 'parts.example', path: '/score', body: '' };
+  const acceptedAt = clock.wallTime();
+  const { head } = newStoredBatch(newBatch('odd', [newItem('o1', { scoring })], { acceptedAt }));
+  batches.apply({ ...head, segments: [...head.segments, ...head.segments] });
+  const whole = { lastEventId: '1', versions: [1], isWhole: true };
+  parts.apply({
+    ...{ type: 'part', batch: 'odd', item: 'o1', writer: 'dead', from: 0, events: ['one'] },
+    ...whole,
+  });
+  await clock.advance(5_000);
+  t.is(batches.get('odd')?.results.length, 0);
+  await clock.advance(RETENTION_MS);
+  t.is(batches.get('odd')?.results[0]?.state, 'abandoned');
+  t.deepEqual(observed.scored, []);
+  await close();
+});
+
 test('a batch that says it was accepted in the future is not kept for longer', async (t) => {
   // Guards against items that are never abandoned since another program wrote an odd time.
   const { clock, batches, close } = newRunnerHost();
