--- a/apps/entry/src/sendRefusal.ts
+++ b/apps/entry/src/sendRefusal.ts
@@ -1,6 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { sendJson } from '@cyclamengate/common/handler';
-import sendJsonAndClose from '@cyclamengate/common/sendJsonAndClose';
+import sendEarlyJson from '@cyclamengate/common/sendEarlyJson';
 import { getHttpStatus } from '@cyclamengate/routing/refusal';
 import type { Refusal } from '@cyclamengate/routing/refusal';
 
@@ -25,8 +24,8 @@
   requestId: string,
   now: number,
 ): void => {
-  const send = isBodyUnread(refusal) ? sendJsonAndClose : sendJson;
-  send(response, getHttpStatus(refusal), newRefusalBody(refusal, requestId), {
+  if (isBodyUnread(refusal) && !response.headersSent) response.setHeader('connection', 'close');
+  sendEarlyJson(response, getHttpStatus(refusal), newRefusalBody(refusal, requestId), {
     'x-request-id': requestId,
     'x-outcome': refusal.outcome,
     ...(refusal.retryAt === null
