Callbacks of a stop are removed once a request has begun, and an empty interval has its default

Callbacks that were removed by the close of a response stayed if that had closed before. A value that the platform leaves empty in the template would have kept hosts from starting (no test had shown either before; read-through).

--- a/apps/host/src/hostSettings.ts
+++ b/apps/host/src/hostSettings.ts
@@ -2,6 +2,9 @@
 
 const addressSchema = z.string().regex(/^[\d.]+:\d+$/, 'an IPv4 address and a port');
 
+/** If the platform does not say how often. */
+const DEFAULT_WRITE_INTERVAL_MS = 1_200;
+
 /** Settings of one host process. */
 export const hostSettingsSchema = z.object({
   host: z.string().min(1),
@@ -33,7 +36,11 @@
     /** How long a batch can be read after it was accepted. */
     batchLifeSeconds: z.number().min(1),
     /** How often upstreams write their entries, in milliseconds. */
-    upstreamWriteIntervalMs: z.number().min(1).default(1_200),
+    upstreamWriteIntervalMs: z
+      .number()
+      .min(1)
+      .nullish()
+      .transform((value) => value ?? DEFAULT_WRITE_INTERVAL_MS),
   }),
   /** Memory of this process. */
   memory: z
--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -146,9 +146,10 @@
       departure.onLate(relayed.deadline, () => late.abort('leaving')),
       departure.onEnd(() => refuse(response, caller, uncertain('leaving', 504))),
     ];
-    response.once('close', () => removals.forEach((remove) => remove()));
     const waitSignal = AbortSignal.any([signal, late.signal]);
-    const outcome = await relay(relayed, workClass, signal, waitSignal);
+    const outcome = await relay(relayed, workClass, signal, waitSignal).finally(() =>
+      removals.forEach((remove) => remove()),
+    );
     const isLeft = outcome.type === 'refusal' && !outcome.hasRun && outcome.upstreams === 0;
     return isLeft && late.signal.aborted && !signal.aborted
       ? { ...outcome, refusal: leavingRefusal }
@@ -220,6 +221,15 @@
     });
   };
 
+  /** A body may take seconds to arrive; null if this host stops before that and can't finish in time. */
+  const unlessLate = <T>(reading: Promise<T>, deadline: number): Promise<T | null> => {
+    let remove = (): void => {};
+    const late = new Promise<null>((resolve) => {
+      remove = departure.onLate(deadline, () => resolve(null));
+    });
+    return Promise.race([reading, late]).finally(remove);
+  };
+
   /** Reads the body of a request and relays it, and counts the body until the answer is sent. */
   const serveRequest = async (
     caller: CallerRequest,
@@ -252,15 +262,8 @@
       lease.release();
       answerLease.release();
     });
-    // A body may take seconds to arrive.
-    const isLate = new Promise<null>((resolve) => {
-      response.once(
-        'close',
-        departure.onLate(deadline, () => resolve(null)),
-      );
-    });
     const reading = readBody(request, maxBodyBytes, BODY_TIMEOUT_MS, lease);
-    const body = await Promise.race([reading, isLate]);
+    const body = await unlessLate(reading, deadline);
     if (body === null) reject(leavingRefusal);
     else if (!body.ok) reject(refusalOf(body.val));
     else if (!departure.canFinish(deadline)) reject(leavingRefusal);
--- a/apps/host/tests/hostSettings.test.ts
+++ b/apps/host/tests/hostSettings.test.ts
@@ -35,3 +35,10 @@
   });
   t.false(parseShares({ reserved: 0.1 }).ok);
 });
+
+test('settings that do not say how often upstreams write have a usual interval', (t) => {
+  // Guards against a host that does not start since the platform leaves a value of the template empty.
+  const settings = parseShares();
+  t.is(settings.ok ? settings.val.terms.upstreamWriteIntervalMs : 0, 1_200);
+  t.is(restore(hostSettingsSchema.shape.terms.shape.upstreamWriteIntervalMs, null).val, 1_200);
+});
