--- a/packages/fuzz/src/wireScript.ts
+++ b/packages/fuzz/src/wireScript.ts
@@ -40,6 +40,8 @@
   ),
   /** Sizes of the parts that are sent, each after some time. */
   parts: fc.array(fc.integer({ min: 1, max: 150 }), { maxLength: 3 }),
+  /** Whether each carriage return ends a part as well. */
+  splitsLineEnds: oftenFirst(false, true),
   /** What follows a whole answer. */
   extra: oftenFirst<'none' | 'copy' | 'late copy' | 'garbage'>(
     ...(['none', 'copy', 'late copy', 'garbage'] as const),
