--- a/apps/host/tests/oddKeyedRecords.test.ts
+++ b/apps/host/tests/oddKeyedRecords.test.ts
@@ -102,6 +102,7 @@
         evacuations,
         peers: { fetchEvacuations: async () => [], fetchNewerSettings: async () => [] },
         readIntervalFactor: () => 0.01,
+        upstreamWriteIntervalMs: 1_200,
       });
       memory.put('keyed.op', [...odd, encodeKeyedBody('evacuate/read', '{}')]);
       const running = host.run(stop.signal);
@@ -161,6 +162,7 @@
         isFresh: () => true,
         isOwner: () => false,
         readIntervalFactor: () => 0.01,
+        upstreamWriteIntervalMs: 1_200,
       });
       const endedAt = clock.wallTime();
       const known = { digest: 'deadly', upstream: 'z@1', endedAt };
--- a/packages/batches/src/newBatchRunner.ts
+++ b/packages/batches/src/newBatchRunner.ts
@@ -177,7 +177,7 @@
 
   const abandonHopeless = (task: ItemTask): boolean => {
     if (!batches.isHopeless(task.item)) return false;
-    abandon(task, 'refused or failed in earlier batches');
+    void retryIfBroken(task, abandon(task, 'refused or failed in earlier batches'));
     return true;
   };
 
