--- a/apps/host/tests/oddKeyedRecords.test.ts
+++ b/apps/host/tests/oddKeyedRecords.test.ts
@@ -162,7 +162,6 @@
         isFresh: () => true,
         isOwner: () => false,
         readIntervalFactor: () => 0.01,
-        upstreamWriteIntervalMs: 1_200,
       });
       const endedAt = clock.wallTime();
       const known = { digest: 'deadly', upstream: 'z@1', endedAt };
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -48,16 +48,6 @@
     },
     rules: { '@typescript-eslint/no-floating-promises': 'error' },
   },
-  {
-    // Not yet looked through.
-    files: [
-      'packages/batches/src/{newPeerCalls,newTrialClaims}.ts',
-      'packages/engines/src/loadWeights.ts',
-      'packages/gateway/src/newPlainRelay.ts',
-      'platform/src/newHttpUpstreamClient.ts',
-    ],
-    rules: { '@typescript-eslint/no-floating-promises': 'off' },
-  },
   {
     files: [
       '**/startProgram.ts',
--- a/packages/batches/src/newPeerCalls.ts
+++ b/packages/batches/src/newPeerCalls.ts
@@ -112,7 +112,7 @@
     const failed = new AbortController();
     const timedOut = new AbortController();
     const signal = AbortSignal.any([ended.signal, timedOut.signal]);
-    sleepWhileResponsive(clock, timeoutMs, ended.signal).then(() => timedOut.abort('silent'));
+    void sleepWhileResponsive(clock, timeoutMs, ended.signal).then(() => timedOut.abort('silent'));
     const startedAt = clock.now();
     let reason = 'silent';
     const run = async (): Promise<Value> => {
--- a/packages/batches/src/newTrialClaims.ts
+++ b/packages/batches/src/newTrialClaims.ts
@@ -53,7 +53,7 @@
       return answer?.type === 'answer' && answer.value > 0 ? answer.value : null;
     },
     cancel: (digest) => {
-      askFirst(digest, {
+      void askFirst(digest, {
         name: 'cancelTrial',
         answer: emptyAnswer,
         run: (client, signal) => client.cancelTrial.mutate(digest, { signal }),
--- a/packages/gateway/src/newPlainRelay.ts
+++ b/packages/gateway/src/newPlainRelay.ts
@@ -108,7 +108,7 @@
     };
 
     const finish = (outcome: RelayOutcome): RelayOutcome => {
-      abortRemaining(outcome);
+      void abortRemaining(outcome);
       const fields = { requestId: request.requestId, service: request.service };
       if (outcome.type === 'refusal') {
         log.warn('request.refused', {
