--- a/apps/host/tests/endlessAnswers.process.test.ts
+++ b/apps/host/tests/endlessAnswers.process.test.ts
@@ -29,12 +29,40 @@
     ),
   );
 
-(['head', 'body', 'chunks'] as EndlessPart[]).forEach((part) => {
-  test.serial(`bytes without end in a ${part} of a plain answer end no host`, async (t) => {
+const BODY_PARTS: Record<string, EndlessPart[]> = {
+  head: ['head'],
+  body: ['body'],
+  chunks: ['chunks'],
+};
+
+/** Of several parts each upstream has one. */
+const PLAIN_PARTS: Record<string, EndlessPart[]> = {
+  ...BODY_PARTS,
+  'line or a size': ['lines', 'interim', 'size'],
+  'chunk extension or a trailer': ['extension', 'trailers'],
+};
+
+const STREAM_PARTS: Record<string, EndlessPart[]> = {
+  ...BODY_PARTS,
+  'line, a size or an extension': ['lines', 'interim', 'size', 'extension', 'trailers'],
+  event: ['event'],
+};
+
+interface Upstream {
+  faults: { endlessPart: EndlessPart | null };
+}
+
+const setEndless = (upstreams: Upstream[], parts: EndlessPart[]): void =>
+  upstreams.forEach(({ faults }, index) =>
+    Object.assign(faults, { endlessPart: parts[index % parts.length] ?? null }),
+  );
+
+Object.entries(PLAIN_PARTS).forEach(([name, parts]) => {
+  test.serial(`bytes without end in a ${name} of a plain answer end no host`, async (t) => {
     // Guards against hosts that collect what an upstream sends until they are ended, and callers that
     // wait for the end of it.
     const { platform, system, first, checkHosts } = await newMemorySystem(t);
-    platform.plain.forEach(({ faults }) => Object.assign(faults, { endlessPart: part }));
+    setEndless(platform.plain, parts);
     const until = Date.now() + ENDLESS_MS;
     const statuses = new Set<number | 'cut'>();
     const call = async (caller: number): Promise<void> => {
@@ -47,24 +75,22 @@
     t.false(statuses.has(200), 'no such answer is whole');
     t.true(findLongestMs(system.hosts) < DEADLINE_MS + LATE_MS);
     checkHosts();
-    platform.plain.forEach(({ faults }) => Object.assign(faults, { endlessPart: null }));
+    setEndless(platform.plain, []);
     await sleep(DEADLINE_MS);
     t.is((await send(first, 'POST', '/lookup/7', { id: 'sound', body: 'x' })).status, 200);
   });
 });
 
-(['head', 'body', 'chunks', 'event'] as EndlessPart[]).forEach((part) => {
-  test.serial(`bytes without end in a ${part} of a stream end no host, and no item`, async (t) => {
+Object.entries(STREAM_PARTS).forEach(([name, parts]) => {
+  test.serial(`bytes without end in a ${name} of a stream end no host, and no item`, async (t) => {
     // Guards against hosts that collect what an engine sends until they are ended, and items that wait
     // for the end of it.
     const { platform, second, first, checkHosts } = await newMemorySystem(t);
-    const setEndless = (endlessPart: EndlessPart | null): void =>
-      platform.engines.forEach(({ faults }) => Object.assign(faults, { endlessPart }));
-    setEndless(part);
+    setEndless(platform.engines, parts);
     t.is((await submitUntilKnown(first, 'b1', batchBody('b1', 4, 4))).status, 202);
     await sleep(ENDLESS_MS);
     checkHosts();
-    setEndless(null);
+    setEndless(platform.engines, []);
     const page = await readAllResults(second, 'b1');
     t.true(page.results.every(({ state }) => state === 'completed'));
     checkHosts();
