An event without an end is given up whatever its answer calls itself

What operators would see: hosts near the end of their memory, and streams that last until their deadline, if an engine sends bytes without end on a streaming route and does not call them a stream of events.

Cause: the bound on an event (4 MB) looked at answers of that content type only; the relay collected any other up to the memory that all answers share.

Change: the relay itself has the bound.

Evidence: the new test read 160 of 160 pieces before, and ends within 80 now.

--- a/packages/engines/src/newAnswerGuard.ts
+++ b/packages/engines/src/newAnswerGuard.ts
@@ -1,6 +1,7 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
 import DelegatingUpstreamClient from './DelegatingUpstreamClient.js';
+import MAX_EVENT_BYTES from './maxEventBytes.js';
 import newEventTail from './newEventTail.js';
 import TruncatedAnswer from './TruncatedAnswer.js';
 import type UpstreamClient from './UpstreamClient.js';
@@ -8,8 +9,6 @@
 import type { UpstreamEntry } from './upstreamEntry.js';
 
 const FIRST_FAILURE_STATUS = 300;
-/** What an upstream may send without the end of an event; events hold some tokens. */
-const MAX_EVENT_BYTES = 4_194_304;
 
 export interface AnswerGuardOptions {
   log: EventLog;
--- a/packages/gateway/src/newStreamRelay.ts
+++ b/packages/gateway/src/newStreamRelay.ts
@@ -6,6 +6,7 @@
 import chooseUpstream from '@cyclamengate/engines/chooseUpstream';
 import type { Candidate } from '@cyclamengate/engines/chooseUpstream';
 import type { Health } from '@cyclamengate/engines/newHealth';
+import MAX_EVENT_BYTES from '@cyclamengate/engines/maxEventBytes';
 import newIdleTimeout from '@cyclamengate/engines/newIdleTimeout';
 import type { IdleTimeout } from '@cyclamengate/engines/newIdleTimeout';
 import type { Loads } from '@cyclamengate/engines/newLoads';
@@ -111,6 +112,12 @@
       for await (const chunk of answer.body) {
         onChunk();
         const { bytes, lastId, pendingBytes } = split(chunk);
+        // Also of an answer that does not call itself a stream of events.
+        if (pendingBytes > MAX_EVENT_BYTES) {
+          lastReason = 'event without an end';
+          health.recordFailure(entry.id, lastReason);
+          return 'broken';
+        }
         // An event that never ends would be collected until this host ends.
         if (!lease.resize(COPIES_OF_EVENT * pendingBytes)) {
           lastReason = 'no memory';
--- a/packages/gateway/tests/newStreamRelay.test.ts
+++ b/packages/gateway/tests/newStreamRelay.test.ts
@@ -280,3 +280,22 @@
   await received;
   t.is(sent[1]?.request.lastEventId, '1');
 });
+
+test('an event without an end is given up whatever its answer calls itself', async (t) => {
+  // Guards against hosts near the end of their memory, since the bytes of an answer that is no stream of
+  // events were collected as one event until the deadline.
+  const clock = newManualClock();
+  let pieces = 0;
+  const endless: Behaviour = async (request, signal) => {
+    const outcome = await answering([])(request, signal);
+    if (outcome.type !== 'answer') return outcome;
+    async function* body(): AsyncGenerator<Buffer> {
+      for (; pieces < 160; pieces += 1) yield Buffer.alloc(65_536, 'x');
+    }
+    return { type: 'answer', answer: { ...outcome.answer, isEventStream: false, body: body() } };
+  };
+  const { received, outcomes } = await relayStream(t, clock, { a: endless });
+  await received;
+  t.like(outcomes[0], { type: 'refusal', hasRun: true });
+  t.true(pieces < 80, `${pieces} pieces`);
+});
