A head that is too large is refused before it reaches an upstream

What callers saw: a request whose id has 9,000 characters got 502, and each upstream that had run it counted as failed and was avoided, for all callers.

Cause: upstreams repeat the id, so the heads of their answers were larger than our client reads, which is a fault of the call. The operator's limit on headers was read and never applied.

Change: 431 for more headers than the operator allows, or an id of more than 1,024 characters; batches with such ids are refused.

A request with 15,000 bytes of headers is served.

--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -3,6 +3,7 @@
 import { parseCallerRequest } from '@cyclamengate/adapter/callerRequest';
 import type { CallerRequest } from '@cyclamengate/adapter/callerRequest';
 import type Clock from '@cyclamengate/common/Clock';
+import countHeaderBytes from '@cyclamengate/common/countHeaderBytes';
 import type { HandlerRequest } from '@cyclamengate/common/handler';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
@@ -32,6 +33,8 @@
 /** A starting host has its settings within a second unless the store is unreachable. */
 const NO_SETTINGS_RETRY_MS = 500;
 const BODY_TIMEOUT_MS = 30_000;
+/** Upstreams repeat the id, and an answer whose head is too large for its reader looks like a failure. */
+const MAX_REQUEST_ID_LENGTH = 1_024;
 
 export interface CallerHandlerOptions {
   clock: Clock;
@@ -129,6 +132,14 @@
     response.end(body);
   };
 
+  const isHeadTooLarge = (
+    request: HandlerRequest,
+    { requestId }: CallerRequest,
+    { settings }: EffectiveSettings,
+  ): boolean =>
+    (requestId?.length ?? 0) > MAX_REQUEST_ID_LENGTH ||
+    countHeaderBytes(request) > settings.limits.maxHeaderBytes;
+
   const computeDeadline = (route: Route, request: CallerRequest, arrivedAt: number): number =>
     arrivedAt + Math.min(route.timeoutMs, request.timeoutMs ?? Number.POSITIVE_INFINITY);
 
@@ -245,7 +256,9 @@
     };
     const isBatch = route?.kind === 'batch' && caller.method === 'POST';
     if (!effective) reject(notRun('no-settings', NO_SETTINGS_RETRY_MS));
-    else if (!route) reject(rejected(404, 'no-route'));
+    else if (isHeadTooLarge(request, caller, effective)) {
+      reject(rejected(431, 'headers-too-large'));
+    } else if (!route) reject(rejected(404, 'no-route'));
     else if (!identity) reject(rejected(401, 'unknown-key'));
     else {
       const customer = identity.type === 'customer' ? identity.customer.name : null;
--- a/apps/host/tests/oddHeads.process.test.ts
+++ b/apps/host/tests/oddHeads.process.test.ts
@@ -214,6 +214,22 @@
   await checkServed();
 });
 
+test.serial('a request with a head that is too large reaches no upstream', async (t) => {
+  // Guards against upstreams that are avoided for what one caller sent: they repeat its id, so that the
+  // heads of their answers are too large as well, which looks like failures.
+  const { system, first, checkServed } = await newTestSystem(t);
+  const sendLong = (length: number) =>
+    send(first, 'GET', '/lookup/1', { headers: { 'x-long': 'v'.repeat(length) } });
+  t.is((await send(first, 'GET', '/lookup/1', { id: 'a'.repeat(9_000) })).status, 431);
+  t.is((await sendLong(16_384)).status, 431);
+  const failures = system.hosts.flatMap(({ events }) =>
+    events.filter(({ event }) => event === 'upstream.failed'),
+  );
+  t.deepEqual(failures, []);
+  t.is((await sendLong(15_000)).status, 200);
+  await checkServed();
+});
+
 const json = (text: string, names = ''): string =>
   `HTTP/1.1 200 OK\r\n${names}content-length: ${text.length}\r\n\r\n${text}`;
 
