--- a/packages/batches/src/sendable.ts
+++ b/packages/batches/src/sendable.ts
@@ -9,4 +9,7 @@
   .string()
   .regex(/^[\t\x20-\x7e\x80-\xff]*$/, 'the value of a header');
 export const pathSchema = z.string().regex(/^\/[\x21-\x7e\x80-\xff]*$/, 'a path');
-export const idSchema = headerValueSchema.min(1);
+/** Engines repeat ids in the heads of their answers. */
+const MAX_ID_LENGTH = 1_024;
+
+export const idSchema = headerValueSchema.min(1).max(MAX_ID_LENGTH);
