--- a/packages/engines/src/loadWeights.ts
+++ b/packages/engines/src/loadWeights.ts
@@ -155,7 +155,7 @@
       .sort((left, right) => compareTimes(failureTime(left), failureTime(right)))
       .slice(0, Math.max(0, maxConcurrentLoads() - pendingLoads.size))
       .forEach((due) => {
-        if (!pendingLoads.has(due.entry.id)) placeSafely(due);
+        if (!pendingLoads.has(due.entry.id)) void placeSafely(due);
       });
   };
 
