--- a/apps/host/src/newCallerHandler.ts
+++ b/apps/host/src/newCallerHandler.ts
@@ -1,4 +1,3 @@
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { parseCallerRequest } from '@cyclamengate/adapter/callerRequest';
 import type { CallerRequest } from '@cyclamengate/adapter/callerRequest';
@@ -8,10 +7,8 @@
 import type { EventLog } from '@cyclamengate/common/newEventLog';
 import type { MemoryBudget } from '@cyclamengate/common/newMemoryBudget';
 import type { Metrics } from '@cyclamengate/common/newMetrics';
-import newDeadlineSignal from '@cyclamengate/common/newDeadlineSignal';
 import { announcedBytes, readBody } from '@cyclamengate/common/readBody';
 import type { BodyFault } from '@cyclamengate/common/readBody';
-import TruncatedAnswer from '@cyclamengate/engines/TruncatedAnswer';
 import roundPace from '@cyclamengate/engines/roundPace';
 import { findCaller, findRoute, pickService } from '@cyclamengate/gateway/findRoute';
 import findHomes from '@cyclamengate/gateway/findHomes';
@@ -29,6 +26,7 @@
 import type { BatchHandlers } from './newBatchHandlers.js';
 import leavingRefusal from './leavingRefusal.js';
 import type { Departure } from './newDeparture.js';
+import newAnswerSender from './newAnswerSender.js';
 import sendRefusal from './sendRefusal.js';
 
 /** A starting host has its settings within a second unless the store is unreachable. */
@@ -60,6 +58,8 @@
     sendRefusal(response, request.requestId, refusal);
   };
 
+  const send = newAnswerSender({ clock, log });
+
   const refusalOf = (fault: BodyFault): Refusal => {
     if (fault === 'no-memory') return notRun(fault, memory.retryAfterMs());
     return rejected(fault === 'too-large' ? 413 : 408, fault);
@@ -82,31 +82,6 @@
     return controller;
   };
 
-  /** Passes on what follows of an answer, no faster than its caller reads. */
-  const sendRest = async (
-    response: ServerResponse,
-    rest: AsyncIterable<Buffer>,
-    deadline: number,
-    controller: AbortController,
-  ): Promise<void> => {
-    const { signal } = controller;
-    const timeout = newDeadlineSignal(clock, deadline);
-    timeout.signal.addEventListener('abort', () => controller.abort('deadline'));
-    try {
-      for await (const chunk of rest) {
-        if (!response.write(chunk)) await once(response, 'drain', { signal });
-      }
-      response.end();
-    } catch (error) {
-      // Without an end, the caller can't take what it has for the whole answer.
-      response.destroy();
-      if (!(error instanceof TruncatedAnswer) && !signal.aborted) throw error;
-      log.warn('request.answer-cut', { error: (error as Error).message });
-    } finally {
-      timeout.end();
-    }
-  };
-
   const sendAnswer = async (
     response: ServerResponse,
     outcome: RelayOutcome,
@@ -119,18 +94,7 @@
       refuse(response, request, outcome.refusal);
       return;
     }
-    const { status, headers, body, rest } = outcome.answer;
-    if (rest !== null) {
-      response.writeHead(status, headers);
-      response.write(body);
-      await sendRest(response, rest, deadline, controller);
-      return;
-    }
-    response.writeHead(status, {
-      ...headers,
-      'content-length': String(body.length),
-    });
-    response.end(body);
+    await send(response, outcome.answer, deadline, controller);
   };
 
   /**
--- a/packages/common/src/handler.ts
+++ b/packages/common/src/handler.ts
@@ -10,6 +10,20 @@
 
 export type AsyncHandler = (request: HandlerRequest, response: ServerResponse) => Promise<void>;
 
+/** Writes the head of an answer with a JSON body of this text. */
+export const writeJsonHead = (
+  response: ServerResponse,
+  status: number,
+  text: string,
+  headers: Record<string, string>,
+): void => {
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(text)),
+    ...headers,
+  });
+};
+
 /** Answers with a JSON body; does nothing when the response has already started. */
 export const sendJson = (
   response: ServerResponse,
@@ -19,11 +33,7 @@
 ): void => {
   if (response.headersSent || response.destroyed) return;
   const text = JSON.stringify(body);
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': String(Buffer.byteLength(text)),
-    ...headers,
-  });
+  writeJsonHead(response, status, text, headers);
   response.end(text);
 };
 
--- a/packages/common/src/sendEarlyJson.ts
+++ b/packages/common/src/sendEarlyJson.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { sendJson } from './handler.js';
+import { sendJson, writeJsonHead } from './handler.js';
 
 /** How long the sender of an unread body may keep sending before its connection is closed. */
 const LINGER_TIMEOUT_MS = 2_000;
@@ -12,12 +12,7 @@
   headers: Record<string, string>,
 ): void => {
   const text = JSON.stringify(body);
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': String(Buffer.byteLength(text)),
-    ...headers,
-    connection: 'close',
-  });
+  writeJsonHead(response, status, text, { ...headers, connection: 'close' });
   response.write(text);
   const timer = setTimeout(() => response.end(), LINGER_TIMEOUT_MS);
   response.req.once('close', () => {
