A foreign text with more values than any message has is not read

Cause: bytes were bounded, not what they become: two characters make a value that takes up to a hundred bytes.

Change: parseJson counts values as it counts depth, 500,000 at most; texts of our own checkpoints have no bound.

--- a/packages/batches/src/recordPieces.ts
+++ b/packages/batches/src/recordPieces.ts
@@ -1,4 +1,5 @@
 import parseJson from '@cyclamengate/common/parseJson';
+import type { JsonFault } from '@cyclamengate/common/parseJson';
 import { z } from 'zod';
 
 /** The store limits records to 262,144 bytes, which have to hold the frame of a piece as well. */
@@ -38,7 +39,7 @@
 const isPiece = (raw: unknown): boolean => (raw as { type?: unknown } | null)?.type === 'piece';
 
 /** Why pieces are dropped. */
-export type PieceFault = 'out-of-order' | 'too-large' | 'never-complete' | 'not-json' | 'too-deep';
+export type PieceFault = 'out-of-order' | 'too-large' | 'never-complete' | JsonFault;
 
 interface IncompleteRecord {
   pieces: Buffer[];
--- a/packages/common/tests/parseJson.test.ts
+++ b/packages/common/tests/parseJson.test.ts
@@ -14,6 +14,14 @@
   });
 });
 
+test('JSON with more values than any message has is not read', (t) => {
+  // Guards against a text of some megabytes that takes all the memory of a host.
+  const texts = ['{},', '[],', '0,', '"",'].map((value) => `[${value.repeat(1_000_000)}0]`);
+  texts.forEach((text) => t.is(parseJson(text).val, 'too-many-values'));
+  t.true(parseJson(`[${'{},'.repeat(200_000)}0]`).ok);
+  t.true(parseJson(JSON.stringify([','.repeat(1_000_000)])).ok, 'commas within strings');
+});
+
 test('brackets within strings are no depth', (t) => {
   // Guards against refusing a text for what a customer wrote in it.
   const texts = ['['.repeat(500), `\\"${'{'.repeat(500)}`, '\\\\', '"', `"\\${'['.repeat(99)}`];
--- a/packages/coordination/src/findCheckpoint.ts
+++ b/packages/coordination/src/findCheckpoint.ts
@@ -9,7 +9,8 @@
 /** Extracts the state from a checkpoint record; null for any other record. */
 const findCheckpoint = ({ body }: LogRecord): SystemState | null => {
   if (!body.includes('"checkpoint"')) return null;
-  const raw = parseJson(body);
+  // Of this project's own processes, and of any size.
+  const raw = parseJson(body, Number.POSITIVE_INFINITY);
   const envelope = raw.ok ? restore(envelopeSchema, raw.val) : null;
   const record = envelope?.ok ? restore(checkpointRecordSchema, envelope.val.record) : null;
   const state = record?.ok ? restore(systemStateSchema, record.val.state) : null;
--- a/packages/coordination/src/newFold.ts
+++ b/packages/coordination/src/newFold.ts
@@ -41,7 +41,8 @@
 }
 
 const restoreEnvelope = (body: string): Envelope | null => {
-  const raw = parseJson(body);
+  // Of this project's own processes, and of any size.
+  const raw = parseJson(body, Number.POSITIVE_INFINITY);
   if (!raw.ok) return null;
   const envelope = restore(envelopeSchema, raw.val);
   return envelope.ok && envelope.val.version <= RECORD_VERSION ? envelope.val : null;
