Figures of an address have no leading zeros

What was seen (an independent reading): 10.0.0.08:8000 was listed, and each call to it failed with 'Invalid URL'; 010.0.0.1:80 was listed, and calls went to 8.0.0.1, since a URL reads such figures as octal.

--- a/packages/common/src/address.ts
+++ b/packages/common/src/address.ts
@@ -1,6 +1,8 @@
 import { z } from 'zod';
 
-const PATTERN = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/;
+/** Without leading zeros, which a URL reads as octal figures: `010.0.0.1` is the machine 8.0.0.1. */
+const FIGURE = '(0|[1-9]\\d{0,4})';
+const PATTERN = new RegExp(`^${Array(4).fill(FIGURE).join('\\.')}:${FIGURE}$`);
 const MAX_OCTET = 255;
 const MAX_PORT = 65_535;
 
