A version is named under the key of its model only

What was seen (an independent reading): a record under version/of-nobody that names another model at 1,000,000,000 had that model's engines ordered to it, and the versions of its trainer were ignored. The new test failed before.

--- a/apps/host/src/followPlatform.ts
+++ b/apps/host/src/followPlatform.ts
@@ -76,13 +76,15 @@
 
   const applyVersion = ({ key, offset }: KeyedRecord, value: Buffer): void => {
     const named = parseNamedVersion(value);
-    if (!named) {
-      isHistoryNeeded ||= !versions.has(key.slice(VERSION_PREFIX.length));
+    const model = key.slice(VERSION_PREFIX.length);
+    // A record under the key of another model would stand in that model's way for good.
+    if (named?.model !== model) {
+      isHistoryNeeded ||= !versions.has(model);
       oddValues.reject('versions', 'version.unreadable', { offset });
       return;
     }
-    if (named.version <= (versions.get(named.model)?.version ?? 0)) return;
-    versions.set(named.model, { ...named, learnedAt: clock.now() });
+    if (named.version <= (versions.get(model)?.version ?? 0)) return;
+    versions.set(model, { ...named, learnedAt: clock.now() });
     log.info('version.named', { ...named, offset });
   };
 
--- a/apps/host/tests/followPlatform.test.ts
+++ b/apps/host/tests/followPlatform.test.ts
@@ -335,3 +335,16 @@
   await waitFor(() => directory.find('dead') === undefined);
   t.is(directory.find('alive')?.slots, 2);
 });
+
+test('a version under the key of another model names no version', async (t) => {
+  // Guards against engines that are ordered to a version which no trainer has named.
+  const { memory, host, settingsView, waitFor } = newFollower(t);
+  const put = (key: string, value: unknown): void => {
+    memory.put('keyed.op', [encodeKeyedBody(key, JSON.stringify(value))]);
+  };
+  put('version/nobody', { model: 'x', version: 1_000_000_000 });
+  put('version/x', { model: 'x', version: 2 });
+  put('config', newOperatorSettings(3));
+  await waitFor(() => settingsView.version() === 3);
+  t.is(host.newestVersion('x').version, 2);
+});
