What each host counts of odd records is asked of the hosts that read them

It is asked of all hosts together now; the other five sources of each of three hosts, where it was of one.

--- a/apps/host/tests/oddRecords.process.test.ts
+++ b/apps/host/tests/oddRecords.process.test.ts
@@ -8,6 +8,7 @@
 import { request } from 'undici';
 import { batchBody, readAllResults, submitUntilKnown } from './batchHelpers.js';
 import { send, sleep, waitUntil } from './newHosts.js';
+import type { TestHost } from './newHosts.js';
 import { newSystem } from './testSystem.js';
 
 /** Several reads of each topic, and of what the records name. */
@@ -178,8 +179,8 @@
     memory.put('parts', listOddParts().map(toBody));
   };
 
-  const countRejected = async (source: string): Promise<number> => {
-    const text = await (await request(`http://${first.metrics}/metrics`)).body.text();
+  const countRejected = async (host: TestHost, source: string): Promise<number> => {
+    const text = await (await request(`http://${host.metrics}/metrics`)).body.text();
     return Number(new RegExp(`^values_unreadable_of_${source} (\\d+)$`, 'm').exec(text)?.[1]);
   };
 
@@ -202,8 +203,16 @@
     const { results } = await readAllResults(index === 0 ? late : first, id);
     t.true(results.every(({ state }) => state === 'completed'));
   }
-  for (const source of ['settings', 'versions', 'evacuations', 'crashes', 'batches', 'parts']) {
-    t.true((await countRejected(source)) > 0, source);
+  for (const source of ['settings', 'versions', 'evacuations', 'crashes', 'batches']) {
+    for (const host of [first, second, third]) {
+      t.true((await countRejected(host, source)) > 0, `${source} at ${host.name}`);
+    }
   }
+  // Read by the hosts that run batches only.
+  const parts = await Promise.all(system.hosts.map((host) => countRejected(host, 'parts')));
+  t.true(
+    parts.some((count) => count > 0),
+    'parts',
+  );
   t.true(areAlive());
 });
