A host starts where its platform states no interval of upstreams' entries

Any value that is no such interval is the usual one now. The test has three more values, and failed before.

--- a/apps/host/src/hostSettings.ts
+++ b/apps/host/src/hostSettings.ts
@@ -35,12 +35,8 @@
     usageWindowSeconds: z.number().min(1),
     /** How long a batch can be read after it was accepted. */
     batchLifeSeconds: z.number().min(1),
-    /** How often upstreams write their entries, in milliseconds. */
-    upstreamWriteIntervalMs: z
-      .number()
-      .min(1)
-      .nullish()
-      .transform((value) => value ?? DEFAULT_WRITE_INTERVAL_MS),
+    /** How often upstreams write their entries, in milliseconds; a platform that states none leaves a text. */
+    upstreamWriteIntervalMs: z.number().min(1).catch(DEFAULT_WRITE_INTERVAL_MS),
   }),
   /** Memory of this process. */
   memory: z
