Addresses are parsed in one place

newServers had a parser of its own beside the shared one, with a type of the same shape. Same behaviour; endToEnd.process.test.ts and hostSettings.test.ts pass (15 tests).

--- a/apps/host/src/newServers.ts
+++ b/apps/host/src/newServers.ts
@@ -2,6 +2,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { ITEM_PATH, RESULTS_PATH } from '@cyclamengate/adapter/batchCalls';
 import { parseCallerRequest } from '@cyclamengate/adapter/callerRequest';
+import { parseAddress } from '@cyclamengate/common/address';
+import type { Address } from '@cyclamengate/common/address';
 import { handler, sendJson } from '@cyclamengate/common/handler';
 import type { AsyncHandler, HandlerRequest } from '@cyclamengate/common/handler';
 import type { EventLog } from '@cyclamengate/common/newEventLog';
@@ -34,16 +36,6 @@
   peerServer: Server;
 }
 
-interface Address {
-  host: string;
-  port: number;
-}
-
-const parseAddress = (address: string): Address => {
-  const [host = '', port = ''] = address.split(':');
-  return { host, port: Number(port) };
-};
-
 const listenOn = (server: Server, { host, port }: Address): Promise<void> =>
   new Promise((resolve, reject) => {
     server.once('error', reject);
